Lay out the workspace, the messages and the first gather

Cause: the project is empty; a whole path needs packages with clear borders first. Weighed: one package with folders (no border a tool can hold) against four packages (core, wire, node, ctl); four were chosen so that the decision package cannot import I/O. No test runs yet.

--- /dev/null
+++ b/packages/core/src/crocusroad_core/fronts/__init__.py
@@ -0,0 +1,17 @@
+"""Fronts as the decisions see them: immutable values built from a spec."""
+
+from crocusroad_core.fronts._build import build_front
+from crocusroad_core.fronts._caller import Caller
+from crocusroad_core.fronts._front import Front
+from crocusroad_core.fronts._kind import RequestKind
+from crocusroad_core.fronts._replica import Replica
+from crocusroad_core.fronts._shard_map import ShardMap
+
+__all__ = [
+    'Caller',
+    'Front',
+    'Replica',
+    'RequestKind',
+    'ShardMap',
+    'build_front',
+]
--- /dev/null
+++ b/packages/core/src/crocusroad_core/gather/__init__.py
@@ -0,0 +1,22 @@
+"""One fan-out query: attempts out, replies in, one whole answer at the end."""
+
+from crocusroad_core.gather._attempt import Attempt
+from crocusroad_core.gather._command import Cancel, Command, Finish, Send
+from crocusroad_core.gather._event import FailureReason, Lost, Reply
+from crocusroad_core.gather._gather import Gather
+from crocusroad_core.gather._plan import Plan
+from crocusroad_core.gather._policy import Policy
+
+__all__ = [
+    'Attempt',
+    'Cancel',
+    'Command',
+    'FailureReason',
+    'Finish',
+    'Gather',
+    'Lost',
+    'Plan',
+    'Policy',
+    'Reply',
+    'Send',
+]
--- /dev/null
+++ b/packages/core/src/crocusroad_core/gather/_command.py
@@ -0,0 +1,30 @@
+"""What a gather asks of the node that drives it."""
+
+from typing import NamedTuple
+
+from crocusroad_core.gather._attempt import Attempt
+from crocusroad_wire import Coverage, Record
+
+
+class Send(NamedTuple):
+    """Send a sub-request."""
+
+    attempt: Attempt
+    deadline: float  # seconds, clock of the node
+
+
+class Cancel(NamedTuple):
+    """Stop an attempt whose answer is of no more use."""
+
+    attempt: Attempt
+
+
+class Finish(NamedTuple):
+    """The query is over; this is its answer."""
+
+    version: int
+    records: list[Record]
+    coverage: Coverage
+
+
+Command = Send | Cancel | Finish
--- /dev/null
+++ b/packages/core/src/crocusroad_core/gather/_event.py
@@ -0,0 +1,59 @@
+"""What a gather is told about its attempts."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from crocusroad_wire import Record
+
+
+class FailureReason(StrEnum):
+    """Why an attempt brought no answer."""
+
+    connect_refused = 'connect-refused'
+    connect_timeout = 'connect-timeout'
+    no_connection = 'no-connection'
+    shed = 'shed'
+    draining = 'draining'
+    wrong_version = 'wrong-version'
+    not_here = 'not-here'
+    rejected = 'rejected'
+    silent = 'silent'
+    broken = 'broken'
+    garbled = 'garbled'
+    crossed = 'crossed'
+    cancelled = 'cancelled'
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the upstream may have run the sub-request."""
+        return self not in _NOT_RUN
+
+
+_NOT_RUN = frozenset(
+    (
+        FailureReason.connect_refused,
+        FailureReason.connect_timeout,
+        FailureReason.no_connection,
+        FailureReason.shed,
+        FailureReason.draining,
+        FailureReason.wrong_version,
+        FailureReason.not_here,
+        FailureReason.rejected,
+    )
+)
+
+
+class Reply(NamedTuple):
+    """A whole answer of a replica, checked to belong to its attempt."""
+
+    serial: int
+    shard: str
+    version: int
+    records: list[Record]
+
+
+class Lost(NamedTuple):
+    """An attempt that brought no answer."""
+
+    serial: int
+    reason: FailureReason
--- /dev/null
+++ b/packages/wire/src/crocusroad_wire/__init__.py
@@ -0,0 +1,64 @@
+"""Messages and codecs shared by the processes of crocusroad.
+
+Everything here is data: no I/O, no clocks and no decisions.
+"""
+
+from crocusroad_wire._answer import (
+    Answer,
+    Coverage,
+    MissingShard,
+    Record,
+)
+from crocusroad_wire._codec import (
+    DecodeError,
+    decode_json,
+    encode_json,
+    encode_json_text,
+)
+from crocusroad_wire._front import (
+    CallerSpec,
+    FrontResource,
+    FrontSpec,
+    FrontStatus,
+    KindSpec,
+    ReplicaSpec,
+    ShardMapSpec,
+    ShardSpec,
+)
+from crocusroad_wire._problem import Fault, Problem, ProblemKind, RunState
+from crocusroad_wire._request import ActionRequest, SearchRequest
+from crocusroad_wire._upstream import (
+    CancelRequest,
+    UpstreamAnswer,
+    UpstreamHealth,
+    UpstreamQuery,
+)
+
+__all__ = [
+    'ActionRequest',
+    'Answer',
+    'CallerSpec',
+    'CancelRequest',
+    'Coverage',
+    'DecodeError',
+    'Fault',
+    'FrontResource',
+    'FrontSpec',
+    'FrontStatus',
+    'KindSpec',
+    'MissingShard',
+    'Problem',
+    'ProblemKind',
+    'Record',
+    'ReplicaSpec',
+    'RunState',
+    'SearchRequest',
+    'ShardMapSpec',
+    'ShardSpec',
+    'UpstreamAnswer',
+    'UpstreamHealth',
+    'UpstreamQuery',
+    'decode_json',
+    'encode_json',
+    'encode_json_text',
+]
