Serve the whole path, thin, as separate processes

Cause: no request could go from a caller to upstreams and back. Ruled out: one process with fakes inside (would prove nothing about cuts and kills). Change: node with callers' and operators' HTTP, watch of the KV, fan-out over aiosonic with one socket a link, crocusctl apply and get; stand-ins of platform and upstreams as processes; a demo that freezes one replica, kills another and stops a node under load.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool of crocusroad."""
--- /dev/null
+++ b/packages/ctl/src/crocusroad_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for crocusroad operators."""
--- /dev/null
+++ b/packages/node/src/crocusroad_node/__init__.py
@@ -0,0 +1,1 @@
+"""The crocusroad node: takes requests, fans them out and merges answers."""
--- /dev/null
+++ b/packages/node/src/crocusroad_node/callers/__init__.py
@@ -0,0 +1,5 @@
+"""The callers' interface over HTTP."""
+
+from crocusroad_node.callers._app import build_caller_app
+
+__all__ = ['build_caller_app']
--- /dev/null
+++ b/packages/node/src/crocusroad_node/callers/_app.py
@@ -0,0 +1,93 @@
+"""The HTTP application for callers."""
+
+import time
+import uuid
+
+from prometheus_client import generate_latest
+from returns.result import Result, Success
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from crocusroad_core.refusals import Refusal, refuse
+from crocusroad_node.callers._hangup import run_unless_hung_up
+from crocusroad_node.counters import IN_FLIGHT, REQUESTS, SECONDS
+from crocusroad_node.life import NodeLife
+from crocusroad_node.serving import SearchCall, SearchService
+from crocusroad_node.web import bearer_digest, problem_response
+from crocusroad_wire import (
+    Answer,
+    DecodeError,
+    ProblemKind,
+    SearchRequest,
+    decode_json,
+    encode_json,
+)
+
+STATUS_HUNG_UP = 499
+STATUS_UNREADY = 503
+JSON = 'application/json'
+
+
+def build_caller_app(service: SearchService, life: NodeLife) -> Starlette:
+    """Return the application that callers and the balancer speak to."""
+
+    async def search(req: Request) -> Response:
+        return await _search(service, req)
+
+    async def healthz(req: Request) -> Response:
+        return PlainTextResponse('ok\n')
+
+    async def readyz(req: Request) -> Response:
+        status = 200 if life.is_ready else STATUS_UNREADY
+        return PlainTextResponse(f'{life.state}\n', status)
+
+    async def metrics(req: Request) -> Response:
+        return Response(generate_latest(), media_type='text/plain')
+
+    return Starlette(
+        routes=[
+            Route('/fronts/{front}/search', search, methods=['POST']),
+            Route('/healthz', healthz),
+            Route('/readyz', readyz),
+            Route('/metrics', metrics),
+        ],
+    )
+
+
+async def _search(service: SearchService, req: Request) -> Response:
+    request_id = uuid.uuid4().hex
+    try:
+        body = decode_json(SearchRequest, await req.body())
+    except DecodeError as exc:
+        refusal = refuse(ProblemKind.malformed, str(exc))
+        return problem_response(refusal, request_id)
+    call = SearchCall(
+        request_id,
+        req.path_params['front'],
+        bearer_digest(req),
+        body,
+    )
+    started = time.perf_counter()
+    with IN_FLIGHT.track_inprogress():
+        outcome = await run_unless_hung_up(req, service.search(call))
+    SECONDS.labels(body['kind']).observe(time.perf_counter() - started)
+    return _respond(call, outcome)
+
+
+def _respond(
+    call: SearchCall,
+    outcome: Result[Answer, Refusal] | None,
+) -> Response:
+    label = REQUESTS.labels
+    front = call.front
+    kind = call.request['kind']
+    if outcome is None:
+        label(front, kind, 'hung-up').inc()
+        return Response(status_code=STATUS_HUNG_UP)
+    if isinstance(outcome, Success):
+        label(front, kind, 'answered').inc()
+        return Response(encode_json(outcome.unwrap()), media_type=JSON)
+    label(front, kind, 'refused').inc()
+    return problem_response(outcome.failure(), call.request_id)
--- /dev/null
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -0,0 +1,63 @@
+"""The metrics of a node.
+
+A counter for each refusal kind and each reason of a lost attempt; the names
+and what to do about each stand in docs/operators.md.
+"""
+
+from prometheus_client import REGISTRY, Counter, Gauge, Histogram
+
+REQUESTS = Counter(
+    'crocusroad_requests',
+    'Requests of callers by front, kind and outcome.',
+    ['front', 'kind', 'outcome'],
+)
+REFUSALS = Counter(
+    'crocusroad_refusals',
+    'Refused requests by problem kind.',
+    ['reason'],
+)
+ATTEMPTS = Counter(
+    'crocusroad_attempts',
+    'Sub-requests sent, by what they were.',
+    ['role'],
+)
+LOST = Counter(
+    'crocusroad_attempts_lost',
+    'Sub-requests that brought no answer, by reason.',
+    ['reason'],
+)
+MISSING = Counter(
+    'crocusroad_shards_missing',
+    'Shards that an answer did not cover, by reason.',
+    ['reason'],
+)
+SECONDS = Histogram(
+    'crocusroad_request_seconds',
+    'Time from receipt to answer.',
+    ['kind'],
+    buckets=(
+        0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.16, 0.2, 0.25, 0.29,
+        0.4, 0.6, 1, 2, 5,
+    ),
+)  # fmt: skip
+IN_FLIGHT = Gauge(
+    'crocusroad_requests_in_flight',
+    'Requests of callers in progress.',
+)
+REVISION = Gauge(
+    'crocusroad_front_revision',
+    'Revision of each front in force on this node.',
+    ['front'],
+)
+
+__all__ = [
+    'ATTEMPTS',
+    'IN_FLIGHT',
+    'LOST',
+    'MISSING',
+    'REFUSALS',
+    'REGISTRY',
+    'REQUESTS',
+    'REVISION',
+    'SECONDS',
+]
--- /dev/null
+++ b/packages/node/src/crocusroad_node/life/_life.py
@@ -0,0 +1,52 @@
+"""The state machine of a node's life."""
+
+import asyncio
+import logging
+
+from transitions import Machine
+
+from crocusroad_core.life import NODE_TRANSITIONS, LifeState
+from crocusroad_node.logs import note
+
+_logger = logging.getLogger(__name__)
+
+
+class NodeLife:
+    """Where a node is in its life."""
+
+    def __init__(self) -> None:
+        self.draining = asyncio.Event()
+        self._machine = Machine(
+            states=list(LifeState),
+            transitions=[list(one) for one in NODE_TRANSITIONS],
+            initial=LifeState.starting,
+            after_state_change=self._log,
+        )
+
+    @property
+    def state(self) -> str:
+        """Return the state by name."""
+        return str(self._machine.state.value)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send requests."""
+        return self.state == LifeState.serving
+
+    def serve(self) -> None:
+        """Begin to serve; has no effect in a later state."""
+        if self.state == LifeState.starting:
+            self._machine.serve()
+
+    def drain(self) -> None:
+        """Begin the graceful stop; has no effect the second time."""
+        if not self.draining.is_set():
+            self._machine.drain()
+            self.draining.set()
+
+    def finish(self) -> None:
+        """End the graceful stop."""
+        self._machine.finish()
+
+    def _log(self) -> None:
+        note(_logger, 'node state', state=self.state)
--- /dev/null
+++ b/packages/node/src/crocusroad_node/root.py
@@ -0,0 +1,82 @@
+"""The composition root: builds the parts of a node and wires them."""
+
+import asyncio
+import signal
+from random import Random
+
+from crocusroad_core.configs import FrontBook
+from crocusroad_core.fronts import Front, Replica
+from crocusroad_core.gather import Policy
+from crocusroad_node.callers import build_caller_app
+from crocusroad_node.configs import FrontStore, watch_fronts
+from crocusroad_node.life import NodeLife
+from crocusroad_node.operators import build_operator_app
+from crocusroad_node.platform import HttpKeyValue
+from crocusroad_node.serving import SearchService
+from crocusroad_node.settings import Settings
+from crocusroad_node.upstreams import UpstreamClient
+from crocusroad_node.web import serve_app
+
+LINKS_PER_REPLICA = 3
+HEDGE_SECONDS = 0.05
+BALANCER_LAG_SECONDS = 1.0
+
+
+async def run_node(cfg: Settings) -> None:
+    """Run a node until it is told to stop and has finished."""
+    life = NodeLife()
+    stop = asyncio.Event()
+    kv = HttpKeyValue(cfg.platform_kv)
+    book = FrontBook()
+    upstreams = UpstreamClient(LINKS_PER_REPLICA, _agent(cfg))
+    service = SearchService(book, upstreams, _policy_maker(Random()))  # noqa: S311
+    callers = build_caller_app(service, life)
+    operators = build_operator_app(
+        FrontStore(kv),
+        cfg.operators_token_sha256,
+    )
+    _listen_to_signals(life)
+    watcher = asyncio.create_task(watch_fronts(kv, book, life.serve))
+    async with asyncio.TaskGroup() as group:
+        group.create_task(serve_app(callers, cfg.callers_listen, stop))
+        group.create_task(serve_app(operators, cfg.operators_listen, stop))
+        group.create_task(_drain(life, stop))
+    watcher.cancel()
+    await upstreams.close()
+    life.finish()
+
+
+def _agent(cfg: Settings) -> str:
+    return f'crocusroad ({cfg.instance_name}; zone={cfg.instance_zone})'
+
+
+def _listen_to_signals(life: NodeLife) -> None:
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, life.drain)
+
+
+async def _drain(life: NodeLife, stop: asyncio.Event) -> None:
+    await life.draining.wait()
+    await asyncio.sleep(BALANCER_LAG_SECONDS)
+    stop.set()
+
+
+def _policy_maker(rng: Random):  # type: ignore[no-untyped-def]
+    def pick(
+        shard: str,
+        candidates: tuple[Replica, ...],
+        now: float,
+    ) -> Replica | None:
+        return rng.choice(candidates)
+
+    policy = Policy(
+        pick,
+        hedge_delay=lambda shard, now: HEDGE_SECONDS,
+        spend=lambda now: True,
+    )
+
+    def policy_for(front: Front) -> Policy:
+        return policy
+
+    return policy_for
--- /dev/null
+++ b/packages/node/src/crocusroad_node/settings/_settings.py
@@ -0,0 +1,21 @@
+"""The checked settings of a node."""
+
+from typing import NamedTuple
+
+
+class Settings(NamedTuple):
+    """Every setting of a node; the field name is `section_key`."""
+
+    instance_name: str
+    instance_zone: str
+    instance_cluster: str
+    callers_listen: str  # host:port
+    operators_listen: str  # host:port
+    operators_token_sha256: str  # hex digest; empty: no operator is let in
+    peers_listen: str  # host:port
+    platform_kv: str  # URL
+    platform_instances: str  # URL
+    limits_extra_load: float  # share of the sub-requests
+    limits_drain_seconds: float
+    logs_format: str  # 'json' or 'text'
+    logs_level: str
--- /dev/null
+++ b/packages/node/src/crocusroad_node/web/_server.py
@@ -0,0 +1,40 @@
+"""The HTTP server of one interface."""
+
+import asyncio
+from contextlib import AbstractContextManager, nullcontext
+
+import uvicorn
+from starlette.applications import Starlette
+
+KEEP_ALIVE_SECONDS = 75
+SHUTDOWN_SECONDS = 3600
+
+
+class _Server(uvicorn.Server):
+    def capture_signals(self) -> AbstractContextManager[None]:  # type: ignore[override]
+        """Leave signals to the node."""
+        return nullcontext()
+
+
+async def serve_app(
+    app: Starlette,
+    listen: str,
+    stop: asyncio.Event,
+) -> None:
+    """Serve until `stop` is set, then finish what is in progress."""
+    host, _, port = listen.rpartition(':')
+    cfg = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        log_config=None,
+        access_log=False,
+        lifespan='off',
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
+        timeout_graceful_shutdown=SHUTDOWN_SECONDS,
+    )
+    server = _Server(cfg)
+    task = asyncio.create_task(server._serve())
+    await stop.wait()
+    server.should_exit = True
+    await task
--- a/packages/wire/src/crocusroad_wire/_codec.py
+++ b/packages/wire/src/crocusroad_wire/_codec.py
@@ -1,6 +1,5 @@
 """JSON coding of typed messages."""
 
-from functools import cache
 from typing import TypeVar
 
 import msgspec
@@ -12,11 +11,6 @@
 _encoder = msgspec.json.Encoder()
 
 
-@cache
-def _decoder(kind: type[T]) -> msgspec.json.Decoder[T]:
-    return msgspec.json.Decoder(kind)
-
-
 def encode_json(message: object) -> bytes:
     """Return the JSON bytes of a message."""
     return _encoder.encode(message)
@@ -34,4 +28,4 @@
         DecodeError: `raw` is not JSON or does not match `kind`; the text
             names the path of the offending field.
     """
-    return _decoder(kind).decode(raw)
+    return msgspec.json.decode(raw, type=kind)
--- /dev/null
+++ b/tests/standins/upstream.py
@@ -0,0 +1,144 @@
+"""An upstream as a process: one replica of one shard over HTTP.
+
+Run: python -m tests.standins.upstream '{"listen": ..., "shard": ..., ...}'
+Faults by POST /fault {"mode": "up" | "straggle" | "shed" | "drain" | ...}.
+"""
+
+import asyncio
+import json
+import random
+import sys
+
+from tests.standins.http import read_request, render
+from tests.standins.records import search, shard_records
+
+DEFAULTS = {
+    'zone': 'a',
+    'slots': 2,
+    'connections': 25,
+    'connect_ms': 6.0,
+    'service_ms': 4.0,
+    'zone_ms': 4.0,
+    'queue': 16,
+    'versions': [1],
+    'seed': 1,
+}
+STRAGGLE = 20.0
+
+
+class Upstream:
+    def __init__(self, cfg):
+        self.cfg = DEFAULTS | cfg
+        self.records = shard_records(cfg['shard'], cfg['shards'])
+        self.rng = random.Random(self.cfg['seed'])
+        self.slots = asyncio.Semaphore(self.cfg['slots'])
+        self.mode = 'up'
+        self.held = 0
+        self.open = 0
+        self.ran = 0
+        self.actions = {}
+        self.tasks = {}
+
+    async def serve(self, reader, writer):
+        if self.open >= self.cfg['connections']:
+            writer.transport.abort()
+            return
+        self.open += 1
+        try:
+            await asyncio.sleep(self.cfg['connect_ms'] / 1000)
+            while (req := await read_request(reader)) is not None:
+                await self.answer(req, writer)
+        except ConnectionError:
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+    async def answer(self, req, writer):
+        body = json.loads(req.body) if req.body else {}
+        route = req.path.strip('/')
+        if route == 'query':
+            status, headers, reply = await self.query(req, body)
+        else:
+            status, headers, reply = 200, {}, getattr(self, f'on_{route}')(body)
+        headers['x-request-id'] = req.headers.get('x-request-id', '')
+        writer.write(render(status, json.dumps(reply).encode(), headers))
+        await writer.drain()
+
+    def on_fault(self, body):
+        self.mode = body['mode']
+        return {}
+
+    def on_stats(self, body):
+        return {'ran': self.ran, 'actions': self.actions, 'open': self.open}
+
+    def on_health(self, body):
+        return {
+            'healthy': True,
+            'draining': self.mode == 'drain',
+            'load': self.held / self.cfg['slots'],
+            'versions': self.cfg['versions'],
+        }
+
+    def on_cancel(self, body):
+        task = self.tasks.pop(body['request_id'], None)
+        if task is not None:
+            task.cancel()
+        return {'cancelled': task is not None}
+
+    async def query(self, req, body):
+        if self.mode in ('shed', 'drain'):
+            reason = 'draining' if self.mode == 'drain' else 'shed'
+            return 503, {'x-not-run': reason}, {}
+        if self.held >= self.cfg['slots'] + self.cfg['queue']:
+            return 503, {'x-not-run': 'shed'}, {}
+        if body['version'] not in self.cfg['versions']:
+            return 409, {'x-not-run': 'wrong-version'}, {}
+        self.held += 1
+        task = asyncio.ensure_future(self.run(req, body))
+        self.tasks[body['request_id']] = task
+        try:
+            await asyncio.wait((task,))
+        finally:
+            self.held -= 1
+            self.tasks.pop(body['request_id'], None)
+        if task.cancelled():
+            return 499, {'x-not-run': 'cancelled'}, {}
+        return 200, {}, task.result()
+
+    async def run(self, req, body):
+        far = f'zone={self.cfg["zone"]})' not in req.headers.get(
+            'user-agent', ''
+        )
+        if far:
+            await asyncio.sleep(2 * self.cfg['zone_ms'] / 1000)
+        async with self.slots:
+            await asyncio.sleep(self.service_seconds())
+            self.ran += 1
+            if 'action' in body['query']:
+                key = body['query']['action']
+                self.actions[key] = self.actions.get(key, 0) + 1
+        return {
+            'request_id': body['request_id'],
+            'shard': body['shard'],
+            'version': body['version'],
+            'records': search(self.records, body['query'], body['limit']),
+            'load': self.held / self.cfg['slots'],
+            'versions': self.cfg['versions'],
+        }
+
+    def service_seconds(self):
+        mean = self.cfg['service_ms'] / 1000
+        slow = STRAGGLE if self.mode == 'straggle' else 1.0
+        return slow * mean * self.rng.lognormvariate(-0.125, 0.5)
+
+
+async def main(cfg):
+    host, _, port = cfg['listen'].rpartition(':')
+    upstream = Upstream(cfg)
+    server = await asyncio.start_server(upstream.serve, host, int(port))
+    await server.serve_forever()
+
+
+if __name__ == '__main__':
+    asyncio.run(main(json.loads(sys.argv[1])))
