--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -1,6 +1,7 @@
 """An upstream as a process: one replica of one shard over HTTP.
 
-Run: python -m tests.standins.upstream '{"listen": ..., "shard": ..., ...}'
+Run: python -m tests.standins.upstream FILE, where the JSON file lists the
+settings of each replica that the process plays (DEFAULTS below).
 Faults by POST /fault {"mode": "up" | "straggle" | "shed" | "drain" | ...}.
 """
 
@@ -8,6 +9,7 @@
 import json
 import random
 import sys
+from pathlib import Path
 
 from tests.standins.http import read_request, render
 from tests.standins.records import search, shard_records
@@ -36,6 +38,7 @@
         self.held = 0
         self.open = 0
         self.ran = 0
+        self.begun = 0
         self.actions = {}
         self.tasks = {}
 
@@ -70,7 +73,12 @@
         return {}
 
     def on_stats(self, body):
-        return {'ran': self.ran, 'actions': self.actions, 'open': self.open}
+        return {
+            'ran': self.ran,
+            'begun': self.begun,
+            'actions': self.actions,
+            'open': self.open,
+        }
 
     def on_health(self, body):
         return {
@@ -95,6 +103,7 @@
         if body['version'] not in self.cfg['versions']:
             return 409, {'x-not-run': 'wrong-version'}, {}
         self.held += 1
+        self.begun += 1
         task = asyncio.ensure_future(self.run(req, body))
         self.tasks[body['request_id']] = task
         try:
@@ -133,12 +142,14 @@
         return slow * mean * self.rng.lognormvariate(-0.125, 0.5)
 
 
-async def main(cfg):
-    host, _, port = cfg['listen'].rpartition(':')
-    upstream = Upstream(cfg)
-    server = await asyncio.start_server(upstream.serve, host, int(port))
-    await server.serve_forever()
+async def main(cfgs):
+    async with asyncio.TaskGroup() as group:
+        for cfg in cfgs:
+            host, _, port = cfg['listen'].rpartition(':')
+            serve = Upstream(cfg).serve
+            server = await asyncio.start_server(serve, host, int(port))
+            group.create_task(server.serve_forever())
 
 
 if __name__ == '__main__':
-    asyncio.run(main(json.loads(sys.argv[1])))
+    asyncio.run(main(json.loads(Path(sys.argv[1]).read_text())))
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -58,6 +58,15 @@
     raise AssertionError(f'not within {seconds} s: {what}')
 
 
+def render(sections):
+    """Return further sections of an INI file."""
+    lines = []
+    for section, keys in sections.items():
+        lines.append(f'[{section}]')
+        lines += [f'{key} = {text}' for key, text in keys.items()]
+    return '\n'.join(lines) + '\n'
+
+
 class Cluster:
     """Stand-ins and nodes; `close` ends every process."""
 
@@ -83,13 +92,16 @@
 
     def start_upstream(self, name, port, **cfg):
         address = f'127.0.0.1:{self.base + port}'
-        text = json.dumps(cfg | {'listen': address})
-        self.spawn(
-            name, [sys.executable, '-m', 'tests.standins.upstream', text]
-        )
+        self.start_upstreams(name, [cfg | {'listen': address}])
         return address
 
-    def start_node(self, name, port, zone):
+    def start_upstreams(self, name, cfgs):
+        file = self.folder / f'{name}.json'
+        file.write_text(json.dumps(cfgs))
+        module = 'tests.standins.upstream'
+        self.spawn(name, [sys.executable, '-m', module, str(file)])
+
+    def start_node(self, name, port, zone, **sections):
         base = self.base + port
         file = self.folder / f'{name}.ini'
         file.write_text(
@@ -99,7 +111,7 @@
             f'token_sha256 = {digest(OPERATOR_TOKEN)}\n'
             f'[peers]\nlisten = 127.0.0.1:{base + 2}\n'
             f'[platform]\nkv = http://{self.platform}\n'
-            f'instances = http://{self.platform}\n'
+            f'instances = http://{self.platform}\n' + render(sections)
         )
         self.spawn(name, [str(BIN / 'crocusroad'), 'run', str(file)])
         self.listed.append(
