Choose replicas by expected wait and bound extra load

Cause: the thin policy picked at random, hedged after a fixed 50 ms and let every extra attempt through, so a straggler got its full share and overload bred more load. Ruled out: round robin and own in-flight work alone, which are blind to stragglers and to other instances. Change: core/routing scores each replica by latency, held work, zone, ramp and signs of leaving; the hedge delay is a quantile of the shard's latencies; the budget is a bucket that only first attempts fill. core/links holds the part of connections and the watch for silent connections. Shown red by the features: a budget that always allows, a router that ignores signs other than the list, a part without room for a rollout; while writing, claiming-busy, claiming-sick and full replicas failed their outlines before trust, probes and the pause for full replicas.

--- /dev/null
+++ b/packages/core/src/crocusroad_core/routing/__init__.py
@@ -0,0 +1,16 @@
+"""Choice of replicas, hedge delays and the budget of extra load."""
+
+from crocusroad_core.routing._budget import Budget, is_free_retry
+from crocusroad_core.routing._health import HealthReport
+from crocusroad_core.routing._latency import LatencyTrack
+from crocusroad_core.routing._replica_state import ReplicaState
+from crocusroad_core.routing._router import Router
+
+__all__ = [
+    'Budget',
+    'HealthReport',
+    'LatencyTrack',
+    'ReplicaState',
+    'Router',
+    'is_free_retry',
+]
--- /dev/null
+++ b/packages/core/src/crocusroad_core/routing/_replicas.py
@@ -0,0 +1,58 @@
+"""The replicas that an instance knows, by front."""
+
+from collections.abc import Iterable
+
+from crocusroad_core.fronts import Replica
+from crocusroad_core.routing._group import Group
+from crocusroad_core.routing._replica_state import ReplicaState
+from crocusroad_core.routing._zones import Zones
+
+
+class Replicas:
+    """The state of each replica by its address."""
+
+    def __init__(self, zones: Zones) -> None:
+        self._zones = zones
+        self._states: dict[str, ReplicaState] = {}
+        self._fronts: dict[str, Group] = {}
+        self._others = Group()  # replicas that no front names
+        self._leaving: frozenset[str] = frozenset()
+
+    def state(self, replica: Replica, now: float) -> ReplicaState:
+        """Return the state of a replica."""
+        state = self._states.get(replica.address)
+        if state is None:
+            zone = self._zones.find(replica.zone)
+            state = ReplicaState(replica, zone, self._others, now)
+            state.is_listed_leaving = self._is_listed(replica)
+            self._states[replica.address] = state
+        return state
+
+    def on_front(
+        self,
+        front: str,
+        replicas: Iterable[Replica],
+        now: float,
+    ) -> set[str]:
+        """Take a front's replicas; return the addresses it no longer has."""
+        former = self._fronts.get(front, self._others).states
+        group = Group()
+        for replica in replicas:
+            state = self.state(replica, now)
+            state.group = group
+            group.states[replica.address] = state
+        self._fronts[front] = group
+        gone = former.keys() - group.states.keys()
+        for address in gone:
+            self._states.pop(address, None)
+        return gone
+
+    def on_leaving(self, names: Iterable[str]) -> None:
+        """Take the names or addresses listed as leaving."""
+        self._leaving = frozenset(names)
+        for state in self._states.values():
+            state.is_listed_leaving = self._is_listed(state.replica)
+
+    def _is_listed(self, replica: Replica) -> bool:
+        leaving = self._leaving
+        return replica.name in leaving or replica.address in leaving
--- /dev/null
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -0,0 +1,189 @@
+"""Routing of the sub-requests of one instance."""
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from crocusroad_core.fronts import Replica
+from crocusroad_core.gather import FailureReason
+from crocusroad_core.routing._choice import lesser_of_two
+from crocusroad_core.routing._health import HealthReport
+from crocusroad_core.routing._latency import LatencyTrack
+from crocusroad_core.routing._replica_state import ReplicaState
+from crocusroad_core.routing._replicas import Replicas
+from crocusroad_core.routing._shard_view import ShardView
+from crocusroad_core.routing._zones import Zones
+
+SHED_LOAD: Final = 2.0
+
+_FAILURES: Final = frozenset(
+    (
+        FailureReason.connect_refused,
+        FailureReason.connect_timeout,
+        FailureReason.silent,
+        FailureReason.broken,
+        FailureReason.garbled,
+        FailureReason.crossed,
+    ),
+)
+# Seconds without work after a refusal for want of room.
+_PAUSES: Final = {
+    FailureReason.shed: 0.1,
+    FailureReason.no_connection: 0.5,
+}
+
+
+class Router:
+    """State of every replica, and the choice among candidates by it.
+
+    `draw` gives floats in [0, 1).
+    """
+
+    def __init__(self, zone: str, draw: Callable[[], float]) -> None:
+        self._draw = draw
+        self._replicas = Replicas(Zones(zone))
+        self._tracks: dict[str, LatencyTrack] = {}  # by shard
+        self._views: dict[str, ShardView] = {}  # by replica address
+        self._peers = 0  # other live instances
+
+    def pick(
+        self,
+        shard: str,
+        candidates: tuple[Replica, ...],
+        now: float,
+    ) -> Replica | None:
+        """Return the replica to ask, or None if each one is leaving.
+
+        `shard` names the shard uniquely over all fronts. A leaving replica is
+        chosen only if all replicas of the shard are leaving.
+        """
+        if not candidates:
+            return None
+        view = self._view(shard, candidates, now)
+        states = view.states_of(candidates)
+        staying = [one for one in states if not one.is_leaving(now)]
+        if staying:
+            return self._choose(staying, now)
+        if all(one.is_leaving(now) for one in view.states):
+            return self._choose(states, now)
+        return None
+
+    def hedge_delay(self, shard: str, now: float) -> float:
+        """Return the seconds after which an attempt of a shard is slow."""
+        return self._track(shard).hedge_delay
+
+    def is_leaving(self, replica: Replica, now: float) -> bool:
+        """Tell whether any sign says that the replica is leaving."""
+        return self._replicas.state(replica, now).is_leaving(now)
+
+    def on_sent(self, replica: Replica, now: float) -> None:
+        """Take the start of an attempt."""
+        self._replicas.state(replica, now).take_sent(now)
+
+    def on_reply(
+        self,
+        replica: Replica,
+        latency: float,
+        load: float | None,
+        now: float,
+    ) -> None:
+        """Take a whole answer, its latency and the load it reports."""
+        state = self._replicas.state(replica, now)
+        state.load.take_done()
+        state.take_answer(latency, now)
+        if load is not None:
+            state.load.take_report(load, replica.slots, now)
+        state.zone.record(latency)
+        view = self._views.get(replica.address)
+        if view is not None:
+            view.track.record(latency)
+
+    def on_lost(
+        self,
+        replica: Replica,
+        reason: FailureReason,
+        latency: float,
+        now: float,
+    ) -> None:
+        """Take the end of an attempt that brought no answer."""
+        state = self._replicas.state(replica, now)
+        state.load.take_done()
+        if reason in _FAILURES:
+            state.take_failure(now)
+        elif reason in _PAUSES:
+            state.take_full(_PAUSES[reason], now)
+            state.load.take_report(SHED_LOAD, replica.slots, now)
+        elif reason is FailureReason.draining:
+            state.take_drain(now)
+        if reason.may_have_run:
+            state.take_slower(latency, now)
+
+    def on_draining(self, replica: Replica, now: float) -> None:
+        """Take a sign of leaving that came with an answer."""
+        self._replicas.state(replica, now).take_drain(now)
+
+    def on_health(
+        self,
+        replica: Replica,
+        report: HealthReport,
+        now: float,
+    ) -> None:
+        """Take the report of a health endpoint."""
+        state = self._replicas.state(replica, now)
+        state.load.take_report(report.load, replica.slots, now)
+        if report.is_draining:
+            state.take_drain(now)
+        state.take_health(is_healthy=report.is_healthy, now=now)
+
+    def on_leaving(self, names: Iterable[str], now: float) -> None:
+        """Take the names or addresses that the platform lists as leaving."""
+        self._replicas.on_leaving(names)
+
+    def on_instances(self, live_count: int, now: float) -> None:
+        """Take the number of live instances, this one included."""
+        self._peers = max(0, live_count - 1)
+
+    def on_front(
+        self,
+        front: str,
+        replicas: Iterable[Replica],
+        now: float,
+    ) -> None:
+        """Take the replicas that a front names, and forget its former ones."""
+        if self._replicas.on_front(front, replicas, now):
+            self._views.clear()
+
+    def _choose(self, states: list[ReplicaState], now: float) -> Replica:
+        if states[0].group.is_in_doubt(now):
+            return lesser_of_two(states, _own_share, self._draw).replica
+        peers = self._peers
+        ready = [one for one in states if one.is_ready(now)]
+        return lesser_of_two(
+            ready or states,
+            lambda one: one.score(peers, now),
+            self._draw,
+        ).replica
+
+    def _track(self, shard: str) -> LatencyTrack:
+        track = self._tracks.get(shard)
+        if track is None:
+            track = LatencyTrack()
+            self._tracks[shard] = track
+        return track
+
+    def _view(
+        self,
+        shard: str,
+        candidates: tuple[Replica, ...],
+        now: float,
+    ) -> ShardView:
+        view = self._views.get(candidates[0].address)
+        if view is None or not view.take(candidates, now):
+            states = [self._replicas.state(one, now) for one in candidates]
+            view = ShardView(candidates, states, self._track(shard), now)
+            for replica in candidates:
+                self._views[replica.address] = view
+        return view
+
+
+def _own_share(state: ReplicaState) -> float:
+    return state.load.in_flight / state.replica.slots
--- /dev/null
+++ b/tests/features/steps/routing.py
@@ -0,0 +1,166 @@
+from random import Random
+
+from behave import given, then, when
+
+from crocusroad_core.fronts import Replica
+from crocusroad_core.gather import FailureReason
+from crocusroad_core.routing import (
+    Budget,
+    HealthReport,
+    LatencyTrack,
+    Router,
+)
+from tests.properties import routing
+
+SERVICE = 0.01
+LATENCY = {'straggling': 20.0, 'claiming-idle': 20.0}
+REFUSAL = {
+    'refusing': FailureReason.connect_refused,
+    'full': FailureReason.no_connection,
+}
+LOAD = {'claiming-idle': 0.0, 'claiming-busy': 8.0}
+
+
+class EarnsByTime(Budget):
+    def spend(self, now):
+        return True
+
+
+class HeedsTheListOnly(Router):
+    def on_draining(self, replica, now):
+        return None
+
+
+def part_without_room(instance, instances, replica):
+    return max(1, replica.connections // len(instances))
+
+
+VARIANTS = {
+    'earns-by-time': {'make_budget': EarnsByTime},
+    'heeds-the-list-only': {'make_router': HeedsTheListOnly},
+    'no-room-for-a-rollout': {'part': part_without_room},
+}
+
+
+@then('the routing property "{name}" holds')
+def step_property(context, name):
+    getattr(routing, name)()
+
+
+@then('the routing property "{name}" fails for the variant "{variant}"')
+def step_known_bad(context, name, variant):
+    try:
+        getattr(routing, name)(**VARIANTS[variant])
+    except AssertionError:
+        return
+    raise RuntimeError(f'{name} does not catch {variant}')
+
+
+@given(
+    '{count:d} replicas routed with seed {seed:d}, of which one is "{fault}"'
+)
+def step_replicas(context, count, seed, fault):
+    context.replicas = tuple(
+        Replica(f'r{number}', f'127.0.0.1:{number}', 'a', 2, 25)
+        for number in range(count)
+    )
+    context.fault = fault
+    context.rng = Random(seed)
+    context.router = Router('a', context.rng.random)
+    context.now = 100.0
+    known = context.replicas[1:] if fault == 'cold' else context.replicas
+    context.router.on_front('front', known, 0.0)
+    context.router.on_front('front', context.replicas, context.now)
+    context.sent = dict.fromkeys(context.replicas, 0)
+
+
+@when('health says of {count:d} of them that they are dead')
+def step_dead(context, count):
+    for replica in context.replicas[:count]:
+        report = HealthReport(False, False, 0.0)
+        context.router.on_health(replica, report, context.now)
+
+
+@when('{count:d} sub-requests are routed at {rate:d} a second')
+def step_route(context, count, rate):
+    faulty = context.replicas[0]
+    running = []
+    for number in range(count):
+        context.now += 1 / rate
+        while running and running[0][0] <= context.now:
+            finish(context, *running.pop(0))
+        if number % (rate // 4) == 0:
+            report_health(context, faulty)
+        chosen = context.router.pick('s', context.replicas, context.now)
+        context.sent[chosen] += 1
+        context.router.on_sent(chosen, context.now)
+        slow = LATENCY.get(context.fault, 1.0) if chosen is faulty else 1.0
+        latency = slow * SERVICE * context.rng.uniform(0.8, 1.2)
+        running.append((context.now + latency, chosen, latency))
+        running.sort()
+
+
+def report_health(context, faulty):
+    if context.fault in ('well', 'cold'):
+        return
+    report = HealthReport(
+        context.fault != 'claiming-sick',
+        context.fault == 'draining',
+        LOAD.get(context.fault, 0.5),
+    )
+    context.router.on_health(faulty, report, context.now)
+
+
+def finish(context, when, replica, latency):
+    if replica is not context.replicas[0]:
+        context.router.on_reply(replica, latency, 0.5, when)
+    elif context.fault in REFUSAL:
+        reason = REFUSAL[context.fault]
+        context.router.on_lost(replica, reason, latency, when)
+    else:
+        load = LOAD.get(context.fault, 0.5)
+        context.router.on_reply(replica, latency, load, when)
+
+
+@then(
+    'the faulty replica was sent at most {most:d} and at least {least:d} '
+    'percent'
+)
+def step_share(context, most, least):
+    share = 100 * context.sent[context.replicas[0]] / sum(context.sent.values())
+    assert least <= share <= most, share
+
+
+@then('each replica was sent at least {least:d} percent')
+def step_each(context, least):
+    every = sum(context.sent.values())
+    assert min(context.sent.values()) >= every * least / 100, context.sent
+
+
+@when('a shard answers in {ms:d} ms, 1 in 50 twenty times slower')
+def step_latencies(context, ms):
+    context.track = LatencyTrack()
+    rng = Random(3)
+    for number in range(5000):
+        slow = 20 if number % 50 == 0 else 1
+        context.track.record(slow * ms / 1000 * rng.uniform(0.8, 1.2))
+
+
+@then('its hedge delay is between {low:d} and {high:d} ms')
+def step_delay(context, low, high):
+    delay = 1000 * context.track.hedge_delay
+    assert low <= delay <= high, delay
+
+
+@then('a budget of 5 percent allows 10 extra attempts before any first one')
+def step_burst(context):
+    context.budget = Budget(0.05)
+    assert [context.budget.spend(0) for _ in range(11)] == [True] * 10 + [False]
+
+
+@then('after 20 first attempts one more, and no second')
+def step_earned(context):
+    for _ in range(21):
+        context.budget.on_first(0)
+    assert context.budget.spend(0)
+    assert not context.budget.spend(0)
--- /dev/null
+++ b/tests/properties/routing.py
@@ -0,0 +1,138 @@
+"""Properties of routing, the budget and the parts of connections."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from crocusroad_core.fronts import Replica
+from crocusroad_core.gather import FailureReason
+from crocusroad_core.links import connection_part
+from crocusroad_core.routing import Budget, HealthReport, Router
+
+REPLICAS = tuple(
+    Replica(f'r{number}', f'127.0.0.1:{number}', 'abc'[number % 3], 2, 25)
+    for number in range(4)
+)
+
+
+def budget_holds(make_budget=Budget):
+    @settings(report_multiple_bugs=False)
+    @given(
+        share=st.sampled_from([0, 0.05, 0.3, 1]),
+        history=st.lists(st.sampled_from(['first', 'extra'])),
+    )
+    def check(share, history):
+        budget = make_budget(share)
+        windows = [[0, 0]]
+        for event in history:
+            windows.append([0, 0])
+            if event == 'first':
+                budget.on_first(0)
+            taken = event == 'extra' and budget.spend(0)
+            for window in windows:
+                window[0] += event == 'first'
+                window[1] += taken
+                assert window[1] <= 10 + share * window[0] + 1e-6, history
+
+    check()
+
+
+@given(share=st.sampled_from([0.05, 0.3]), asks=st.lists(st.booleans()))
+def budget_holds_for_sent(share, asks):
+    budget = Budget(share)
+    first = extra = 0
+    for is_extra in asks:
+        if is_extra and not budget.spend(0):
+            continue
+        budget.on_sent(0)
+        first += not is_extra
+        extra += is_extra
+        assert extra <= 10 + share * first + 1e-6
+
+
+SIGNS = ('listed', 'health', 'answer', 'refusal')
+events = st.tuples(
+    st.sampled_from([*SIGNS, 'reply', 'lost', 'sent', 'sick', 'well']),
+    st.integers(0, 3),
+    st.floats(0, 2),
+)
+
+
+def leaving_gets_no_work(make_router=Router):
+    @settings(report_multiple_bugs=False)
+    @given(
+        history=st.lists(events, max_size=40),
+        tried=st.sets(st.integers(0, 3), max_size=3),
+        seed=st.integers(0, 99),
+    )
+    def check(history, tried, seed):
+        """Each pick is a candidate; none leaves while another stays."""
+        router = make_router('a', Random(seed).random)
+        now = 100.0
+        signs = {}
+        for event, number, pause in history:
+            now += pause
+            play(router, event, REPLICAS[number], now)
+            if event in SIGNS:
+                signs[number] = now
+            leaving = {one for one, when in signs.items() if now - when < 15}
+            whole = router.pick('s', REPLICAS, now)
+            assert whole in REPLICAS
+            if len(leaving) < len(REPLICAS):
+                assert REPLICAS.index(whole) not in leaving
+            rest = tuple(
+                one for place, one in enumerate(REPLICAS) if place not in tried
+            )
+            chosen = router.pick('s', rest, now)
+            assert chosen is None or chosen in rest
+            if chosen is not None and len(leaving) < len(REPLICAS):
+                assert REPLICAS.index(chosen) not in leaving
+
+    check()
+
+
+def play(router, event, replica, now):
+    if event == 'listed':
+        router.on_leaving({replica.name}, now)
+        router.on_draining(replica, now)
+    elif event in ('health', 'sick', 'well'):
+        report = HealthReport(event != 'sick', event == 'health', 1.0)
+        router.on_health(replica, report, now)
+    elif event == 'answer':
+        router.on_draining(replica, now)
+    elif event == 'refusal':
+        router.on_lost(replica, FailureReason.draining, 0.001, now)
+    elif event == 'reply':
+        router.on_reply(replica, 0.01, 0.5, now)
+    elif event == 'lost':
+        router.on_lost(replica, FailureReason.broken, 0.01, now)
+    else:
+        router.on_sent(replica, now)
+
+
+def parts_fit(part=connection_part):
+    @settings(report_multiple_bugs=False)
+    @given(
+        old=st.integers(1, 40),
+        new=st.integers(0, 40),
+        connections=st.integers(1, 120),
+        data=st.data(),
+    )
+    def check(old, new, connections, data):
+        """No view of at least half the running instances exceeds the limit."""
+        running = [f'node-{number}' for number in range(old + new)]
+        listed = data.draw(
+            st.sampled_from([len(running), -(-len(running) // 2)]), 'listed'
+        )
+        replica = Replica('r', '127.0.0.1:1', 'a', 2, connections)
+        first = frozenset(running[:listed])
+        last = frozenset(running[-listed:])
+        views = [first if name in first else last for name in running]
+        held = [
+            part(name, view, replica)
+            for name, view in zip(running, views, strict=True)
+        ]
+        assert sum(held) <= connections, (held, connections)
+
+    check()
