Decide retries, canaries, versions and refusals of a search

Cause: the thin gather retried every loss by the same rule, refused a retry with the budget spent even if nothing had run, never asked a replica again that had shed, took the newest index version without asking who serves it, waited for the deadline after an exception of the adapter, and answered a query that nobody ran with an empty answer. The demo started its nodes with the installed packages in place of the checkout's (PYTHONPATH overwritten), which hid this from a worktree.

Ruled out: a second budget for retries after refusals (a refusal before the run is no load on the upstream); raising the budget (holds no bound).

Change: parts with typed losses, roles of attempts, a canary, one start over on another version, an alarm heap in place of a scan of all shards, typed outcomes with what may have run, hooks for what became of each attempt, a view of the versions replicas serve. Attempts are counted by role: first, hedge, retry, replacement, restart; extra load is hedges and retries. An upstream that a hedge found refusing is asked again later.

Not weakened: the demo's sum of extra load now adds the roles hedge and retry, which replace the label extra.

--- a/packages/core/src/crocusroad_core/gather/_command.py
+++ b/packages/core/src/crocusroad_core/gather/_command.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from crocusroad_core.gather._attempt import Attempt
+from crocusroad_core.gather._outcome import Outcome, Suspect
 from crocusroad_wire import Coverage, Record
 
 
@@ -25,6 +26,9 @@
     version: int
     records: list[Record]
     coverage: Coverage
+    outcome: Outcome
+    may_have_run: bool  # False only if no upstream can have run it
+    suspects: tuple[Suspect, ...]  # upstreams that failed while they ran it
 
 
 Command = Send | Cancel | Finish
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -26,6 +26,16 @@
     'Sub-requests that brought no answer, by reason.',
     ['reason'],
 )
+ATTEMPT_FAULTS = Counter(
+    'crocusroad_attempt_faults',
+    'Sub-requests that ended by an unexpected exception, by its type.',
+    ['exception'],
+)
+OUTCOMES = Counter(
+    'crocusroad_query_outcomes',
+    'Fan-out queries by how they ended.',
+    ['outcome'],
+)
 MISSING = Counter(
     'crocusroad_shards_missing',
     'Shards that an answer did not cover, by reason.',
@@ -52,9 +62,11 @@
 
 __all__ = [
     'ATTEMPTS',
+    'ATTEMPT_FAULTS',
     'IN_FLIGHT',
     'LOST',
     'MISSING',
+    'OUTCOMES',
     'REFUSALS',
     'REGISTRY',
     'REQUESTS',
--- a/packages/node/src/crocusroad_node/gathers/_driver.py
+++ b/packages/node/src/crocusroad_node/gathers/_driver.py
@@ -3,20 +3,23 @@
 import asyncio
 from collections.abc import Callable
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from crocusroad_core.gather import (
     Attempt,
     Cancel,
     Command,
+    FailureReason,
     Finish,
     Gather,
     Lost,
     Reply,
     Send,
 )
+from crocusroad_node.counters import ATTEMPT_FAULTS, LOST
+from crocusroad_node.gathers._observer import Observer
 from crocusroad_node.upstreams import QueryResult, Upstreams
-from crocusroad_wire import UpstreamQuery
+from crocusroad_wire import UpstreamAnswer, UpstreamQuery
 
 # Builds the message of an attempt: (attempt, seconds left).
 MakeMessage = Callable[[Attempt, float], UpstreamQuery]
@@ -26,12 +29,13 @@
     gather: Gather,
     upstreams: Upstreams,
     make_message: MakeMessage,
+    observer: Observer,
 ) -> Finish:
     """Run a query to its end.
 
     Cancelling the call cancels every attempt in flight.
     """
-    driver = _Driver(gather, upstreams, make_message)
+    driver = _Driver(gather, upstreams, make_message, observer)
     try:
         return await driver.run()
     finally:
@@ -44,14 +48,17 @@
         gather: Gather,
         upstreams: Upstreams,
         make_message: MakeMessage,
+        observer: Observer,
     ) -> None:
         self._gather = gather
         self._upstreams = upstreams
         self._make_message = make_message
+        self._observer = observer
         self._loop = asyncio.get_running_loop()
         self._done: asyncio.Future[Finish] = self._loop.create_future()
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._wake_at = 0.0  # seconds, clock of the loop
 
     async def run(self) -> Finish:
         """Run to the end."""
@@ -86,36 +93,59 @@
 
     async def _attempt(self, command: Send) -> None:
         attempt = command.attempt
-        left = command.deadline - self._loop.time()
-        outcome = await self._upstreams.query(
-            attempt.replica,
-            self._make_message(attempt, left),
-            left,
-        )
+        outcome = await self._ask(attempt, command.deadline)
         self._tasks.pop(attempt.serial, None)
-        self._carry_out(self._feed(attempt, outcome))
-
-    def _feed(self, attempt: Attempt, outcome: QueryResult) -> list[Command]:
         now = self._loop.time()
-        if not isinstance(outcome, Success):
-            lost = Lost(attempt.serial, outcome.failure())
-            return self._gather.on_lost(lost, now)
-        answer = outcome.unwrap()
-        reply = Reply(
-            attempt.serial,
-            answer['shard'],
-            answer['version'],
-            answer['records'],
-        )
+        if isinstance(outcome, Success):
+            commands = self._answered(attempt, outcome.unwrap(), now)
+        else:
+            commands = self._lost(attempt, outcome.failure(), now)
+        self._carry_out(commands)
+
+    async def _ask(self, attempt: Attempt, deadline: float) -> QueryResult:
+        """Ask the upstream; whatever goes wrong is a typed failure."""
+        left = deadline - self._loop.time()
+        try:
+            message = self._make_message(attempt, left)
+            return await self._upstreams.query(attempt.replica, message, left)
+        except Exception as exc:
+            # A fault of the adapter must not leave the caller waiting.
+            ATTEMPT_FAULTS.labels(type(exc).__name__).inc()
+            return Failure(FailureReason.garbled)
+
+    def _answered(
+        self,
+        attempt: Attempt,
+        answer: UpstreamAnswer,
+        now: float,
+    ) -> list[Command]:
+        own = (attempt.shard, attempt.version)
+        if (answer['shard'], answer['version']) != own:
+            return self._lost(attempt, FailureReason.crossed, now)
+        self._observer.answered(attempt, answer, now)
+        reply = Reply(attempt.serial, *own, answer['records'])
         return self._gather.on_reply(reply, now)
 
+    def _lost(
+        self,
+        attempt: Attempt,
+        reason: FailureReason,
+        now: float,
+    ) -> list[Command]:
+        LOST.labels(reason.value).inc()
+        self._observer.failed(attempt, reason, now)
+        return self._gather.on_lost(Lost(attempt.serial, reason), now)
+
     def _set_timer(self) -> None:
+        if self._done.done():
+            return
+        wake = self._gather.next_wake()
         if self._timer is not None:
+            if self._wake_at <= wake:
+                return  # fires early at worst, and is set again then
             self._timer.cancel()
-            self._timer = None
-        if not self._done.done():
-            wake = self._gather.next_wake()
-            self._timer = self._loop.call_at(wake, self._tick)
+        self._wake_at = wake
+        self._timer = self._loop.call_at(wake, self._tick)
 
     def _tick(self) -> None:
         self._timer = None
--- /dev/null
+++ b/packages/node/src/crocusroad_node/serving/_fan_out.py
@@ -0,0 +1,169 @@
+"""The fan-out of one search: snapshot, sub-requests, answer."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from crocusroad_core.fronts import Front, RequestKind, ShardMap
+from crocusroad_core.gather import (
+    Attempt,
+    FailureReason,
+    Finish,
+    Gather,
+    Outcome,
+    Plan,
+    Policy,
+)
+from crocusroad_core.refusals import Refusal, refuse
+from crocusroad_core.snapshots import VersionView
+from crocusroad_node.counters import ATTEMPTS, MISSING, OUTCOMES
+from crocusroad_node.gathers import Observer, run_gather
+from crocusroad_node.serving._call import SearchCall
+from crocusroad_node.serving._crash_guard import NO_GUARD, CrashGuard
+from crocusroad_node.upstreams import Upstreams
+from crocusroad_wire import (
+    Answer,
+    ProblemKind,
+    UpstreamAnswer,
+    UpstreamQuery,
+)
+
+DEFAULT_LIMIT = 10
+MS_PER_SECOND = 1000
+
+_PROBLEMS = {
+    Outcome.expired: ProblemKind.deadline_exceeded,
+    Outcome.failed: ProblemKind.upstream_unavailable,
+    Outcome.suspected: ProblemKind.quarantined,
+}
+
+
+class FanOut:
+    """Asks every shard of a front and merges what they answer."""
+
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        policy_for: Callable[[Front], Policy],
+        versions: VersionView | None = None,
+        guard: CrashGuard = NO_GUARD,
+    ) -> None:
+        self._upstreams = upstreams
+        self._policy_for = policy_for
+        self._versions = VersionView() if versions is None else versions
+        self._guard = guard
+
+    async def run(
+        self,
+        call: SearchCall,
+        front: Front,
+        kind: RequestKind,
+        deadline: float,
+    ) -> Result[Answer, Refusal]:
+        """Return the answer of one snapshot, or why there is none."""
+        now = asyncio.get_running_loop().time()
+        version = self._versions.choose(front, now)
+        if version is None:
+            detail = f'no index version of {front.name!r} is served now'
+            return Failure(refuse(ProblemKind.no_snapshot, detail))
+        plan = Plan(
+            shard_map=front.shard_maps[version],
+            limit=call.request.get('limit', DEFAULT_LIMIT),
+            deadline=deadline,
+            is_repeatable=kind.is_repeatable,
+            needs_canary=self._guard.needs_canary(call),
+            another=self._other_map_of(front),
+        )
+        finish = await run_gather(
+            Gather(plan, self._policy_for(front)),
+            self._upstreams,
+            _message_maker(call),
+            self._observer(call),
+        )
+        self._guard.ended(call, finish)
+        return _conclude(call, finish)
+
+    def _other_map_of(
+        self,
+        front: Front,
+    ) -> Callable[[int, float], ShardMap | None]:
+        def another(version: int, now: float) -> ShardMap | None:
+            return self._versions.choose_other(front, version, now)
+
+        return another
+
+    def _observer(self, call: SearchCall) -> Observer:
+        versions = self._versions
+
+        def answered(
+            attempt: Attempt,
+            answer: UpstreamAnswer,
+            now: float,
+        ) -> None:
+            served = answer.get('versions')
+            if served is None:
+                name = attempt.replica.name
+                versions.learn_served(name, attempt.version, now)
+            else:
+                versions.learn(attempt.replica.name, served, now)
+
+        def failed(
+            attempt: Attempt,
+            reason: FailureReason,
+            now: float,
+        ) -> None:
+            if reason is FailureReason.wrong_version:
+                name = attempt.replica.name
+                versions.learn_lacking(name, attempt.version, now)
+            self._guard.lost(call, attempt, reason, now)
+
+        return Observer(answered, failed)
+
+
+def _message_maker(
+    call: SearchCall,
+) -> Callable[[Attempt, float], UpstreamQuery]:
+    request = call.request
+    limit = request.get('limit', DEFAULT_LIMIT)
+
+    def make(attempt: Attempt, left: float) -> UpstreamQuery:
+        ATTEMPTS.labels(attempt.role.value).inc()
+        return UpstreamQuery(
+            request_id=f'{call.request_id}.{attempt.serial}',
+            shard=attempt.shard,
+            version=attempt.version,
+            kind=request['kind'],
+            query=request['query'],
+            limit=limit,
+            deadline_ms=int(left * MS_PER_SECOND),
+            expires_at=time.time() + left,
+        )
+
+    return make
+
+
+def _conclude(call: SearchCall, finish: Finish) -> Result[Answer, Refusal]:
+    OUTCOMES.labels(finish.outcome.value).inc()
+    for missing in finish.coverage['missing']:
+        MISSING.labels(missing['reason']).inc()
+    if finish.outcome is Outcome.answered:
+        return Success(_answer(call, finish))
+    reasons = sorted({one['reason'] for one in finish.coverage['missing']})
+    return Failure(
+        refuse(
+            _PROBLEMS[finish.outcome],
+            f'no shard answered: {", ".join(reasons)}',
+            has_run=finish.may_have_run,
+        ),
+    )
+
+
+def _answer(call: SearchCall, finish: Finish) -> Answer:
+    return Answer(
+        request_id=call.request_id,
+        snapshot=finish.version,
+        records=finish.records,
+        coverage=finish.coverage,
+    )
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -126,7 +126,7 @@
 
 
 def extra_load(nodes):
-    counts = {'first': 0.0, 'extra': 0.0}
+    counts = {'first': 0.0, 'hedge': 0.0, 'retry': 0.0}
     for url in nodes:
         for line in call(f'{url}/metrics')[1].splitlines():
             for role in counts:
@@ -134,7 +134,7 @@
                     f'crocusroad_attempts_total{{role="{role}"}}'
                 ):
                     counts[role] += float(line.split()[-1])
-    return counts['extra'] / counts['first']
+    return (counts['hedge'] + counts['retry']) / counts['first']
 
 
 def main():
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -79,7 +79,9 @@
 
     def spawn(self, name, args, env=None):
         log = (self.folder / f'{name}.log').open('wb')
-        every = os.environ | {'PYTHONPATH': os.getcwd()} | (env or {})
+        folders = [os.getcwd(), os.environ.get('PYTHONPATH', '')]
+        path = os.pathsep.join(filter(None, folders))
+        every = os.environ | {'PYTHONPATH': path} | (env or {})
         self.procs[name] = subprocess.Popen(
             args, stdout=log, stderr=subprocess.STDOUT, env=every
         )
--- a/tests/support/fake_upstreams.py
+++ b/tests/support/fake_upstreams.py
@@ -1,6 +1,7 @@
 """Upstreams in memory, behind the node's port, with faults by script."""
 
 import asyncio
+import contextlib
 from collections import Counter
 
 from returns.result import Failure, Success
@@ -121,3 +122,23 @@
     await asyncio.sleep(SERVICE_SECONDS)
     upstreams.crashed.add(replica.name)
     return Failure(FailureReason.broken)
+
+
+def runs_then(reason):
+    """Run the request, then break, or stay silent if there is no reason."""
+
+    async def fault(upstreams, replica, message, timeout):
+        await asyncio.sleep(SERVICE_SECONDS)
+        upstreams.answer(replica, message)
+        if reason is None:
+            await asyncio.sleep(timeout)
+        return Failure(reason)
+
+    return fault
+
+
+async def late_after_cancel(upstreams, replica, message, timeout):
+    """Answer although the call was cancelled."""
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.sleep(timeout)
+    return upstreams.answer(replica, message)
