Decide membership by probes, suspicion and ordered updates

Cause: nodes had no view of each other, so limits, spreading of news and crash reports had nothing to go by. The platform's list alone was ruled out since it lags, full heartbeats since they cost a message per peer per second. Change: pure members code (table, hearsay, partners, state machine, relay ranges) and its messages. The variants without order, re-probing and refutation fail their checks.

--- a/packages/wire/src/crocusroad_wire/__init__.py
+++ b/packages/wire/src/crocusroad_wire/__init__.py
@@ -25,6 +25,18 @@
     ShardMapSpec,
     ShardSpec,
 )
+from crocusroad_wire._peers import (
+    PEER_VERSION,
+    Heartbeat,
+    MemberUpdate,
+    PeerFrame,
+    Publication,
+    PullAnswer,
+    PullRequest,
+    Receipt,
+    decode_peer,
+    encode_peer,
+)
 from crocusroad_wire._problem import Fault, Problem, ProblemKind, RunState
 from crocusroad_wire._request import ActionRequest, SearchRequest
 from crocusroad_wire._upstream import (
@@ -45,10 +57,18 @@
     'FrontResource',
     'FrontSpec',
     'FrontStatus',
+    'Heartbeat',
     'KindSpec',
+    'MemberUpdate',
     'MissingShard',
+    'PEER_VERSION',
+    'PeerFrame',
     'Problem',
     'ProblemKind',
+    'Publication',
+    'PullAnswer',
+    'PullRequest',
+    'Receipt',
     'Record',
     'ReplicaSpec',
     'RunState',
@@ -59,6 +79,8 @@
     'UpstreamHealth',
     'UpstreamQuery',
     'decode_json',
+    'decode_peer',
     'encode_json',
     'encode_json_text',
+    'encode_peer',
 ]
--- /dev/null
+++ b/tests/properties/members.py
@@ -0,0 +1,226 @@
+"""Properties of membership over any history."""
+
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from crocusroad_core.members import (
+    KEY_LIMIT,
+    Member,
+    Members,
+    MembersConfig,
+    MemberState,
+    is_newer,
+    order_of,
+    split_range,
+)
+from crocusroad_core.members._hearsay import Hearsay
+from crocusroad_core.members._table import MemberTable
+from crocusroad_wire import Heartbeat, MemberUpdate, encode_peer
+from tests.support.peers_net import MembersNet
+
+HEARTBEAT_BYTES = 192 + 110  # piggyback, then sender and position
+NAMES = [f'node-{number:04}' for number in range(5)]
+
+updates = st.builds(
+    MemberUpdate,
+    st.sampled_from(NAMES[1:3]),
+    st.integers(1, 3),
+    st.integers(0, 3),
+    st.integers(0, 3),
+    st.just('10.0.0.1:7000'),
+    st.just('a'),
+)
+
+
+@given(st.lists(updates, max_size=12), st.randoms(use_true_random=False))
+def check_merge_any_order(history, rng):
+    shuffled = [*history, *history]
+    rng.shuffle(shuffled)
+    tables = [MemberTable(MembersConfig()) for _ in range(2)]
+    for table, order in zip(tables, (history, shuffled), strict=True):
+        for update in order:
+            table.merge(update, 0)
+    for name in NAMES:
+        held = [table.find(name) for table in tables]
+        orders = {order_of(one.update) for one in held if one}
+        assert len(orders) <= 1 and len({one is None for one in held}) == 1
+
+
+def check_older_incarnation(kind=Members):
+    @settings(report_multiple_bugs=False)
+    @given(st.lists(updates, min_size=1, max_size=12))
+    def check(history):
+        me = MemberUpdate(NAMES[0], 1, 0, 0, '10.0.0.9:7000', 'a')
+        node = kind(me, lambda below: 0)
+        newest = {}
+        for update in history:
+            node.on_answer(Heartbeat(update, 0), 0)
+            best = newest.get(update.name, update)
+            newest[update.name] = max(best, update, key=order_of)
+            for name, best in newest.items():
+                held = node.find(name).update
+                assert held.incarnation == best.incarnation
+                left = best.state == MemberState.left
+                assert not left or held.state == MemberState.left
+
+    check()
+
+
+@given(st.lists(updates, max_size=20), st.integers(0, 300))
+def check_piggyback(history, room):
+    hearsay = Hearsay(3, 10)
+    for update in history:
+        hearsay.add(update)
+    taken = hearsay.take(room, ())
+    assert len(encode_peer(taken)) <= room + 3
+    assert len(hearsay) <= 10
+
+
+@given(st.integers(1, 40), st.integers(2, 9))
+def check_table_bounded(count, limit):
+    table = MemberTable(MembersConfig(limit=limit))
+    for number in range(count):
+        state = number % 4
+        table.merge(MemberUpdate(f'n{number}', 1, 0, state, 'x', 'a'), number)
+    assert len(table) <= limit
+
+
+@given(st.integers(0, 60), st.integers(1, 8))
+def check_relay_once(count, width):
+    members = [
+        Member(MemberUpdate(f'node-{number}', 1, 0, 0, 'x:1', 'a'), 0)
+        for number in range(count)
+    ]
+    told = []
+
+    def tell(low, high):
+        for branch in split_range(members, low, high, width):
+            told.append(branch.head.name)
+            tell(branch.low, branch.high)
+
+    tell(0, KEY_LIMIT)
+    assert sorted(told) == sorted(one.name for one in members)
+
+
+actions = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ['cut', 'mend', 'freeze', 'thaw', 'kill', 'restart', 'leave']
+        ),
+        st.sampled_from(NAMES),
+        st.sampled_from(NAMES),
+        st.integers(0, 12),
+    ),
+    max_size=12,
+)
+
+
+def check_heals(kind=Members):
+    @settings(
+        max_examples=60,
+        report_multiple_bugs=False,
+        phases=[Phase.generate],
+    )
+    @given(actions, st.integers(0, 3), st.sampled_from([0, 0.1, 0.4]))
+    def check(history, seed, loss):
+        net = MembersNet(len(NAMES), seed, kind=kind)
+        net.loss = loss
+        for action, name, other, seconds in history:
+            act(net, action, name, other)
+            net.tick(seconds)
+        net.heal()
+        net.publish_list()
+        net.tick(net.bound())
+        assert not net.unheard(), net.unheard()
+        assert not net.zombies(), net.zombies()
+
+    check()
+
+
+def act(net, action, name, other):
+    running = name in net.running()
+    if action == 'cut' and name != other:
+        net.cuts.add(frozenset((name, other)))
+    elif action == 'mend':
+        net.cuts.discard(frozenset((name, other)))
+    elif action == 'freeze' and running:
+        net.frozen.add(name)
+    elif action == 'thaw':
+        net.frozen.discard(name)
+    elif action == 'kill' and running:
+        net.kill(name)
+    elif action == 'restart':
+        net.start(name)
+    elif action == 'leave' and running and name not in net.frozen:
+        net.leave(name)
+
+
+def check_split(count, seconds, kind=Members):
+    """A split of two regions; after the heal each holds the other alive."""
+    net = MembersNet(count, kind=kind)
+    names = net.running()
+    half = names[: count // 2]
+    net.tick(count)
+    net.cuts = {
+        frozenset((one, other))
+        for one in half
+        for other in names
+        if other not in half
+    }
+    net.tick(seconds)
+    assert net.unheard(), 'the split was not seen'
+    net.heal()
+    net.tick(net.bound())
+    assert not net.unheard(), net.unheard()
+
+
+def check_sizes(count, seconds):
+    """Heartbeats stay bounded while a third of the members is lost."""
+    net = MembersNet(count)
+    seen = []
+    deliver = net.deliver
+
+    def measured(name, target, heartbeat):
+        seen.append(len(encode_peer(heartbeat)))
+        return deliver(name, target, heartbeat)
+
+    net.deliver = measured
+    net.tick(5)
+    for name in net.running()[::3]:
+        net.kill(name)
+    net.tick(seconds)
+    assert max(seen) <= HEARTBEAT_BYTES, max(seen)
+    assert not net.unheard()
+    assert not net.zombies()
+
+
+class NoOrder(Members):
+    """Known bad: takes what came last."""
+
+    def _take(self, update, now):
+        held = self.find(update.name)
+        if held and not is_newer(update, held.update):
+            self._table._members[update.name] = held._replace(update=update)
+            return
+        super()._take(update, now)
+
+
+class NoRecheck(Members):
+    """Known bad: never probes a member held dead."""
+
+    def _gone(self):
+        return []
+
+
+class NoRefutation(Members):
+    """Known bad: does not answer what is held about it."""
+
+    def _refute(self, update):
+        """Do nothing."""
+
+
+VARIANTS = {
+    'no order': NoOrder,
+    'no recheck': NoRecheck,
+    'no refutation': NoRefutation,
+}
