Resolve lost replies of configuration writes, adopt only upwards

Cause: a write whose reply was lost answered write-unknown although the KV could tell; a read-back by id alone can't tell "replaced since" from "never landed", and a slow creation could bring a deleted front back. The client library repeats PUT by itself, so a swap could report a conflict with itself, and after a timeout it hands a late answer to the next request.

Ruled out: guessing either way, and a conflict taken at its word; the machine over the real decisions finds a fault in each of these variants, as in adoption without comparing and a position moved over a gap.

Change: values carry their lineage (base and id of the last 32 writes), the state machine Write resolves by it; deleted fronts keep their key; Feed takes nothing from a store that has gone back; watchers by rendezvous hash, others look at a jittered period; export and absorb for peers; every fault of a spec by its path; swaps go by POST on connections used again only after a whole exchange.

Conclusion: accepted, conflict and unknown are each said only when so.

--- /dev/null
+++ b/packages/core/src/crocusroad_core/configs/_exchange.py
@@ -0,0 +1,77 @@
+"""The exchange of configuration between nodes."""
+
+from typing import NamedTuple, TypedDict
+
+import msgspec
+
+from crocusroad_core.configs._book import FrontBook
+from crocusroad_core.configs._change import Change
+from crocusroad_core.configs._feed import Adopted
+
+EXPORT_BYTES = 2_000_000  # of values in one payload, but for a single change
+
+
+class Export(TypedDict):
+    """The changes after one position, up to another."""
+
+    after: int
+    upto: int
+    changes: list[Change]
+    is_last: bool  # false: ask again after `upto`
+    is_synced: bool  # the sender had every front as of `upto`
+
+
+class Absorbed(NamedTuple):
+    """What a payload brought."""
+
+    adopted: list[Adopted]
+    is_last: bool
+
+
+def export_changes(
+    book: FrontBook,
+    after: int,
+    max_bytes: int = EXPORT_BYTES,
+) -> bytes:
+    """Return the newest change of each front after a position.
+
+    Deleted fronts and values refused here are included, so that the receiver
+    checks them by itself.
+    """
+    due = [one for one in book.known() if after < one.revision <= book.position]
+    batch = _within(due, max_bytes)
+    is_last = len(batch) == len(due)
+    payload = Export(
+        after=after,
+        upto=book.position if is_last else batch[-1].revision,
+        changes=batch,
+        is_last=is_last,
+        is_synced=book.is_synced,
+    )
+    return msgspec.msgpack.encode(payload)
+
+
+def absorb_changes(book: FrontBook, raw: bytes) -> Absorbed:
+    """Adopt what a peer exported, upwards only.
+
+    Raises:
+        msgspec.DecodeError: The payload is malformed; nothing was adopted.
+    """
+    payload = msgspec.msgpack.decode(raw, type=Export)
+    adopted = [Adopted(one, book.adopt(one)) for one in payload['changes']]
+    if payload['after'] <= book.position:
+        book.advance(payload['upto'])
+        if payload['is_synced'] and payload['is_last']:
+            book.mark_synced()
+    return Absorbed(adopted, payload['is_last'])
+
+
+def _within(due: list[Change], max_bytes: int) -> list[Change]:
+    batch: list[Change] = []
+    size = 0
+    for one in due:
+        size += len(one.value or '')
+        if batch and size > max_bytes:
+            break
+        batch.append(one)
+    return batch
--- a/packages/core/src/crocusroad_core/fronts/__init__.py
+++ b/packages/core/src/crocusroad_core/fronts/__init__.py
@@ -2,6 +2,7 @@
 
 from crocusroad_core.fronts._build import build_front
 from crocusroad_core.fronts._caller import Caller
+from crocusroad_core.fronts._check import check_spec
 from crocusroad_core.fronts._front import Front
 from crocusroad_core.fronts._kind import RequestKind
 from crocusroad_core.fronts._replica import Replica
@@ -14,4 +15,5 @@
     'RequestKind',
     'ShardMap',
     'build_front',
+    'check_spec',
 ]
--- /dev/null
+++ b/packages/core/src/crocusroad_core/kv/__init__.py
@@ -0,0 +1,5 @@
+"""Calls to the KV as the decisions see them."""
+
+from crocusroad_core.kv._event import CallFault, Found, StoreEvent, Swapped
+
+__all__ = ['CallFault', 'Found', 'StoreEvent', 'Swapped']
--- a/packages/node/src/crocusroad_node/configs/_watcher.py
+++ b/packages/node/src/crocusroad_node/configs/_watcher.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import NamedTuple
 
-from returns.result import Success
+from returns.result import Result, Success
 
-from crocusroad_core.configs import FrontBook
-from crocusroad_core.fronts import build_front
+from crocusroad_core.configs import (
+    Adopted,
+    Adoption,
+    Change,
+    Feed,
+    check_period,
+    is_watcher,
+)
 from crocusroad_node.configs._keys import FRONTS_PREFIX, front_name
-from crocusroad_node.counters import REVISION
+from crocusroad_node.counters import ADOPTIONS, REVISION, STORE_WENT_BACK
 from crocusroad_node.logs import note
-from crocusroad_node.platform import Batch, Entry, KeyValue
-from crocusroad_wire import DecodeError, FrontSpec, decode_json
+from crocusroad_node.platform import Batch, KeyValue, StoreFault
 
 WATCH_SECONDS = 20.0
 RETRY_SECONDS = 0.5
@@ -20,46 +27,92 @@
 _logger = logging.getLogger(__name__)
 
 
+class Surroundings(NamedTuple):
+    """What the adoption asks of the rest of the node."""
+
+    own_name: str
+    members: Callable[[], frozenset[str]]  # names of the nodes seen
+    pull: Callable[[], Awaitable[bool]]  # fronts from peers; true: all
+    on_synced: Callable[[], None]
+    rng: Random
+
+
 async def watch_fronts(
     kv: KeyValue,
-    book: FrontBook,
-    on_synced: Callable[[], None],
+    feed: Feed,
+    around: Surroundings,
 ) -> None:
     """Adopt every change of the fronts, for ever."""
-    revision = await _list_all(kv, book)
-    on_synced()
+    await _start(kv, feed, around)
+    around.on_synced()
     while True:
-        batch = await kv.watch(FRONTS_PREFIX, revision, WATCH_SECONDS)
-        if isinstance(batch, Success):
-            revision = _adopt_all(book, batch.unwrap())
-        else:
-            await asyncio.sleep(RETRY_SECONDS)
+        members = around.members()
+        wait = WATCH_SECONDS
+        if not is_watcher(around.own_name, members):
+            wait = 0
+            jitter = around.rng.random()
+            await asyncio.sleep(check_period(len(members), jitter))
+        await _look(kv, feed, wait)
 
 
-async def _list_all(kv: KeyValue, book: FrontBook) -> int:
-    while True:
-        batch = await kv.list(FRONTS_PREFIX)
-        if isinstance(batch, Success):
-            return _adopt_all(book, batch.unwrap())
+def report_adopted(adopted: list[Adopted]) -> None:
+    """Count and log what became of changes."""
+    for change, adoption in adopted:
+        ADOPTIONS.labels(adoption.value).inc()
+        if adoption is Adoption.adopted:
+            REVISION.labels(change.name).set(change.revision)
+        if adoption is not Adoption.old:
+            what = f'front {adoption.value}'
+            note(_logger, what, front=change.name, revision=change.revision)
+
+
+async def _start(kv: KeyValue, feed: Feed, around: Surroundings) -> None:
+    is_waiting = False
+    while not (await _list_all(kv, feed) or await around.pull()):
+        if not is_waiting:
+            note(_logger, 'no configuration: neither KV nor peer has it')
+        is_waiting = True
         await asyncio.sleep(RETRY_SECONDS)
 
 
-def _adopt_all(book: FrontBook, batch: Batch) -> int:
-    for entry in batch.entries:
-        _adopt(book, entry)
-    return batch.revision
+async def _list_all(kv: KeyValue, feed: Feed) -> bool:
+    batch = await kv.list(FRONTS_PREFIX)
+    if not isinstance(batch, Success):
+        return False
+    return _report(feed.on_list(*_changes(batch.unwrap())))
 
 
-def _adopt(book: FrontBook, entry: Entry) -> None:
-    name = front_name(entry.key)
-    if entry.value is None:
-        book.remove(name, entry.revision)
-        return
-    try:
-        spec = decode_json(FrontSpec, entry.value.encode())
-    except DecodeError as exc:
-        note(_logger, 'front refused', front=name, error=str(exc))
+async def _look(kv: KeyValue, feed: Feed, wait: float) -> None:
+    batch = await kv.watch(FRONTS_PREFIX, feed.cursor, wait)
+    is_taken = isinstance(batch, Success) and _report(
+        feed.on_changes(*_changes(batch.unwrap())),
+    )
+    if not is_taken:
+        await _recover(kv, feed, batch)
+
+
+async def _recover(
+    kv: KeyValue,
+    feed: Feed,
+    batch: Result[Batch, StoreFault],
+) -> None:
+    fault = None if isinstance(batch, Success) else batch.failure()
+    if fault is StoreFault.compacted and await _list_all(kv, feed):
         return
-    if book.adopt(build_front(name, entry.revision, spec)):
-        REVISION.labels(name).set(entry.revision)
-        note(_logger, 'front adopted', front=name, revision=entry.revision)
+    await asyncio.sleep(RETRY_SECONDS)
+
+
+def _changes(batch: Batch) -> tuple[int, list[Change]]:
+    changes = [
+        Change(front_name(key), revision, text)
+        for key, text, revision in batch.entries
+    ]
+    return batch.revision, changes
+
+
+def _report(adopted: list[Adopted] | None) -> bool:
+    if adopted is None:
+        STORE_WENT_BACK.inc()
+        return False
+    report_adopted(adopted)
+    return True
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -59,8 +59,23 @@
     'Revision of each front in force on this node.',
     ['front'],
 )
+WRITES = Counter(
+    'crocusroad_config_writes',
+    "Operators' writes by outcome.",
+    ['outcome'],
+)
+ADOPTIONS = Counter(
+    'crocusroad_config_changes',
+    'Changes of fronts that reached this node, by what became of them.',
+    ['adoption'],
+)
+STORE_WENT_BACK = Counter(
+    'crocusroad_kv_went_back',
+    'Answers of the KV older than one seen before; nothing was taken.',
+)
 
 __all__ = [
+    'ADOPTIONS',
     'ATTEMPTS',
     'ATTEMPT_FAULTS',
     'IN_FLIGHT',
@@ -72,4 +87,6 @@
     'REQUESTS',
     'REVISION',
     'SECONDS',
+    'STORE_WENT_BACK',
+    'WRITES',
 ]
--- a/packages/node/src/crocusroad_node/operators/_app.py
+++ b/packages/node/src/crocusroad_node/operators/_app.py
@@ -1,14 +1,16 @@
 """The HTTP application for operators."""
 
 from collections.abc import Awaitable, Callable
+from typing import cast
 
-from returns.result import Success
+from returns.result import Result, Success
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
-from crocusroad_core.refusals import refuse
+from crocusroad_core.fronts import check_spec
+from crocusroad_core.refusals import Refusal, refuse
 from crocusroad_node.configs import FrontStore
 from crocusroad_node.platform import StoreFault
 from crocusroad_node.web import (
@@ -27,12 +29,6 @@
 JSON = 'application/json'
 HEADER_REVISION = 'if-match'
 
-_PROBLEMS = {
-    StoreFault.conflict: ProblemKind.conflict,
-    StoreFault.unavailable: ProblemKind.store_unavailable,
-    StoreFault.unknown: ProblemKind.write_unknown,
-}
-
 Endpoint = Callable[[Request], Awaitable[Response]]
 
 
@@ -62,9 +58,7 @@
         name = req.path_params['front']
         expected = int(req.headers.get(HEADER_REVISION, '0'))
         written = await store.delete(name, expected)
-        if isinstance(written, Success):
-            return _json({'name': name, 'revision': written.unwrap()})
-        return _fault(written.failure())
+        return _written(name, written)
 
     def guarded(endpoint: Endpoint) -> Endpoint:
         return _guard(endpoint, token_sha256)
@@ -92,14 +86,23 @@
 async def _apply(store: FrontStore, req: Request) -> Response:
     name = req.path_params['front']
     try:
-        spec = decode_json(FrontSpec, await req.body())
+        raw = decode_json(dict, await req.body())
     except DecodeError as exc:
-        return problem_response(refuse(ProblemKind.invalid_spec, str(exc)))
+        return problem_response(refuse(ProblemKind.malformed, str(exc)))
+    faults = check_spec(raw)
+    if faults:
+        refusal = refuse(ProblemKind.invalid_spec, f'{len(faults)} faults')
+        return problem_response(refusal._replace(faults=tuple(faults)))
+    spec = cast('FrontSpec', raw)
     expected = int(req.headers.get(HEADER_REVISION, '0'))
     written = await store.apply(name, spec, expected)
+    return _written(name, written)
+
+
+def _written(name: str, written: Result[int, Refusal]) -> Response:
     if isinstance(written, Success):
         return _json({'name': name, 'revision': written.unwrap()})
-    return _fault(written.failure())
+    return problem_response(written.failure())
 
 
 def _json(message: object) -> Response:
@@ -107,5 +110,5 @@
 
 
 def _fault(fault: StoreFault) -> Response:
-    kind = _PROBLEMS.get(fault, ProblemKind.store_unavailable)
+    kind = ProblemKind.store_unavailable
     return problem_response(refuse(kind, f'the KV said {fault.value!r}'))
--- a/packages/node/src/crocusroad_node/platform/__init__.py
+++ b/packages/node/src/crocusroad_node/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from crocusroad_node.platform._entry import Batch, Entry
+from crocusroad_node.platform._events import read_event, swap_event
 from crocusroad_node.platform._fault import StoreFault
 from crocusroad_node.platform._instances import (
     HttpInstances,
@@ -23,4 +24,6 @@
     'Instances',
     'KeyValue',
     'StoreFault',
+    'read_event',
+    'swap_event',
 ]
--- /dev/null
+++ b/packages/node/src/crocusroad_node/platform/_events.py
@@ -0,0 +1,42 @@
+"""Replies of the KV as events of the decisions."""
+
+from typing import Final
+
+from returns.result import Result, Success
+
+from crocusroad_core.kv import CallFault, Found, StoreEvent, Swapped
+from crocusroad_node.platform._entry import Entry
+from crocusroad_node.platform._fault import StoreFault
+from crocusroad_node.platform._port import KeyValue
+
+_FAULTS: Final = {
+    StoreFault.conflict: CallFault.conflict,
+    StoreFault.unavailable: CallFault.refused,
+    StoreFault.unknown: CallFault.lost,
+    StoreFault.lease_gone: CallFault.lease_gone,
+    StoreFault.compacted: CallFault.lost,
+}
+ABSENT: Final = Found(revision=0, value=None)
+
+
+async def read_event(kv: KeyValue, key: str) -> StoreEvent:
+    """Read a key and return what came of it."""
+    reply = await kv.read(key)
+    if not isinstance(reply, Success):
+        return _FAULTS[reply.failure()]
+    entry: Entry | None = reply.unwrap()
+    return ABSENT if entry is None else Found(entry.revision, entry.value)
+
+
+async def swap_event(
+    kv: KeyValue,
+    key: str,
+    value: str,
+    expected: int,
+    lease: str = '',
+) -> StoreEvent:
+    """Swap a key and return what came of it."""
+    reply: Result[int, StoreFault] = await kv.swap(key, value, expected, lease)
+    if isinstance(reply, Success):
+        return Swapped(reply.unwrap())
+    return _FAULTS[reply.failure()]
--- a/packages/node/src/crocusroad_node/platform/_kv.py
+++ b/packages/node/src/crocusroad_node/platform/_kv.py
@@ -1,18 +1,21 @@
 """The platform's KV over HTTP."""
 
+import asyncio
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from aiosonic import HTTPClient, HttpResponse, TCPConnector
-from aiosonic.timeout import Timeouts
 from returns.result import Failure, Result, Success
 
 from crocusroad_node.exchange_errors import CONNECT_ERRORS, EXCHANGE_ERRORS
+from crocusroad_node.platform._clients import (
+    CONNECT_SECONDS,
+    Clients,
+    Response,
+)
 from crocusroad_node.platform._entry import Batch, Entry
 from crocusroad_node.platform._fault import StoreFault
-from crocusroad_wire import decode_json, encode_json
+from crocusroad_wire import DecodeError, decode_json, encode_json
 
-CONNECT_SECONDS = 0.5
 CALL_SECONDS = 2.0
 
 _FAULTS = {
@@ -30,8 +33,7 @@
     """The KV behind a URL."""
 
     def __init__(self, url: str) -> None:
-        self._url = url
-        self._client = _new_client()
+        self._clients = Clients(url)
 
     async def read(self, key: str) -> Result[Entry | None, StoreFault]:
         """Return an entry, or None if there is none."""
@@ -53,7 +55,9 @@
     ) -> Result[int, StoreFault]:
         """Write a key if its revision is `expected`."""
         body = {'value': value, 'expected': expected, 'lease': lease}
-        reply = await self._call('PUT', f'/kv/{quote(key, safe="")}', body)
+        # Not PUT: the client library repeats idempotent methods by itself,
+        # and a swap that is repeated unseen reports a conflict with itself.
+        reply = await self._call('POST', f'/kv/{quote(key, safe="")}', body)
         return reply.map(lambda written: int(written['revision']))
 
     async def watch(
@@ -88,41 +92,30 @@
         body: Reply | None = None,
         seconds: float = CALL_SECONDS,
     ) -> Result[Reply, StoreFault]:
+        raw = b'' if body is None else encode_json(body)
         try:
-            return await self._exchange(method, path, body, seconds)
+            async with asyncio.timeout(seconds + CONNECT_SECONDS):
+                response = await self._clients.exchange(
+                    method,
+                    path,
+                    raw,
+                    seconds,
+                )
         except CONNECT_ERRORS:
             return Failure(StoreFault.unavailable)
         except EXCHANGE_ERRORS:
-            self._client = _new_client()
             return Failure(StoreFault.unknown)
+        return _parsed(response)
 
-    async def _exchange(
-        self,
-        method: str,
-        path: str,
-        body: Reply | None,
-        seconds: float,
-    ) -> Result[Reply, StoreFault]:
-        response: HttpResponse = await self._client.request(
-            self._url + path,
-            method=method,
-            headers={'content-type': 'application/json'},
-            data=b'' if body is None else encode_json(body),
-            timeouts=Timeouts(
-                sock_connect=CONNECT_SECONDS,
-                sock_read=seconds,
-                request_timeout=seconds,
-            ),
-        )
-        raw = await response.content()
-        if response.status_code == STATUS_OK:
-            return Success(decode_json(dict, raw))
-        fault = _FAULTS.get(response.status_code, StoreFault.unknown)
-        return Failure(fault)
 
-
-def _new_client() -> HTTPClient:
-    return HTTPClient(TCPConnector())
+def _parsed(response: Response) -> Result[Reply, StoreFault]:
+    if response.status != STATUS_OK:
+        fault = _FAULTS.get(response.status, StoreFault.unknown)
+        return Failure(fault)
+    try:
+        return Success(decode_json(dict, response.body))
+    except DecodeError:
+        return Failure(StoreFault.unknown)
 
 
 def _entry(raw: Reply) -> Entry:
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -4,11 +4,11 @@
 import signal
 from random import Random
 
-from crocusroad_core.configs import FrontBook
+from crocusroad_core.configs import Feed, FrontBook
 from crocusroad_core.fronts import Front, Replica
 from crocusroad_core.gather import Policy
 from crocusroad_node.callers import build_caller_app
-from crocusroad_node.configs import FrontStore, watch_fronts
+from crocusroad_node.configs import FrontStore, Surroundings, watch_fronts
 from crocusroad_node.life import NodeLife
 from crocusroad_node.operators import build_operator_app
 from crocusroad_node.platform import HttpKeyValue
@@ -36,7 +36,9 @@
         cfg.operators_token_sha256,
     )
     _listen_to_signals(life)
-    watcher = asyncio.create_task(watch_fronts(kv, book, life.serve))
+    watcher = asyncio.create_task(
+        watch_fronts(kv, Feed(book), _surroundings(cfg, life)),
+    )
     async with asyncio.TaskGroup() as group:
         group.create_task(serve_app(callers, cfg.callers_listen, stop))
         group.create_task(serve_app(operators, cfg.operators_listen, stop))
@@ -50,6 +52,19 @@
     return f'crocusroad ({cfg.instance_name}; zone={cfg.instance_zone})'
 
 
+def _surroundings(cfg: Settings, life: NodeLife) -> Surroundings:
+    async def pull() -> bool:
+        return False
+
+    return Surroundings(
+        own_name=cfg.instance_name,
+        members=lambda: frozenset((cfg.instance_name,)),
+        pull=pull,
+        on_synced=life.serve,
+        rng=Random(),  # noqa: S311
+    )
+
+
 def _listen_to_signals(life: NodeLife) -> None:
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/tests/features/steps/configs.py
@@ -0,0 +1,225 @@
+import json
+
+from behave import given, then, when
+
+from crocusroad_core.configs import (
+    Adoption,
+    Ancestor,
+    Change,
+    Feed,
+    FrontBook,
+    FrontEvent,
+    History,
+    SwapKey,
+    Write,
+    WriteDone,
+    absorb_changes,
+    check_period,
+    encode_stored,
+    export_changes,
+    is_watcher,
+)
+from crocusroad_core.fronts import check_spec
+from tests.properties import configs
+from tests.standins.model_kv import CallFate, ModelKv
+
+KEY = 'north'
+OTHERS = 32
+
+
+@then('the configuration machine finds no fault in {count:d} histories')
+def step_machine(context, count):
+    configs.run_machine(count, 60)
+
+
+@then('the configuration machine finds the fault "{fault}" in "{variant}"')
+def step_variant(context, fault, variant):
+    found = configs.variant_fault(variant, 400, 60)
+    assert found is not None and found.startswith(fault), found
+
+
+def write_now(kv, number, now=0.0):
+    """Write as another operator, over whatever stands."""
+    held = kv.store.read(KEY, now)
+    expected = held['revision'] if held else 0
+    write = Write(configs.spec(number), expected, f'other{number}', now + 9)
+    command = write.begin()
+    while not isinstance(command, WriteDone):
+        command = write.on_event(call(kv, command, CallFate.ok, now), now)
+
+
+def call(kv, command, fate, now):
+    if isinstance(command, SwapKey):
+        return kv.swap(KEY, command.value, command.expected, '', fate, now)
+    return kv.read(KEY, fate, now)
+
+
+@given('a front key at revision 3 after three writes')
+def step_three(context):
+    context.kv = ModelKv()
+    for number in (1, 2, 3):
+        write_now(context.kv, number)
+
+
+@when('an operator\'s write at revision 3 has its {step} meet "{fate}"')
+def step_meet(context, step, fate):
+    kv, now = context.kv, 0.0
+    write = Write(configs.spec(9), 3, 'mine', now + 5)
+    command = write.begin()
+    is_met = False
+    while not isinstance(command, WriteDone):
+        now += 0.5
+        is_due = isinstance(command, SwapKey) == (step == 'swap')
+        event = None
+        if is_due and not is_met:
+            is_met = True
+            event = meet(kv, command, fate, now)
+        elif is_met and fate.endswith('outage'):
+            event = call(kv, command, CallFate.refused, now)
+        command = write.on_event(
+            event or call(kv, command, CallFate.ok, now), now
+        )
+    context.done = command
+
+
+def meet(kv, command, fate, now):
+    if fate == 'outage':
+        return call(kv, command, CallFate.refused, now)
+    if fate == 'raced':
+        write_now(kv, 10)
+        return call(kv, command, CallFate.ok, now)
+    if fate.startswith('replaced'):
+        event = call(kv, command, CallFate.lost_after, now)
+        for number in range(OTHERS if 'lineage' in fate else 1):
+            write_now(kv, 10 + number)
+        return event
+    if fate == 'lost, then outage':
+        return call(kv, command, CallFate.lost_after, now)
+    event = call(kv, command, CallFate(fate), now)
+    kv.land(0, now)
+    return event
+
+
+@then('the configuration write ends as "{outcome}" and {count:d} of it landed')
+def step_ends(context, outcome, count):
+    landed = [
+        revision
+        for _, value, revision in context.kv.truth
+        if json.loads(value)['lineage'][0][1] == 'mine'
+    ]
+    assert context.done.outcome.value == outcome, context.done
+    assert len(landed) == count, landed
+    if outcome == 'accepted':
+        assert landed == [context.done.revision]
+
+
+def stored(spec, revision):
+    return encode_stored(spec, Ancestor(revision - 1, f'w{revision}'), [])
+
+
+@given('a node that adopted revision 5 of a front')
+def step_adopted(context):
+    context.book = FrontBook()
+    context.feed = Feed(context.book)
+    change = Change(KEY, 5, stored(configs.spec(5), 5))
+    assert context.feed.on_list(5, [change])[0].adoption is Adoption.adopted
+
+
+@when('its KV {event}')
+def step_event(context, event):
+    change = Change(KEY, 4, stored(configs.spec(4), 4))
+    if event.startswith('watches'):
+        context.taken = context.feed.on_changes(4, [])
+    elif event.startswith('lists'):
+        context.taken = context.feed.on_list(4, [change])
+    else:
+        context.taken = context.feed.on_list(4, [])
+
+
+@then('revision 5 stays in force and the answer is refused')
+def step_stays(context):
+    assert context.taken is None
+    assert context.book.find(KEY).revision == 5
+
+
+@when('the change "{what}" at revision {revision:d} reaches it')
+def step_change(context, what, revision):
+    values = {
+        'a good spec': stored(configs.spec(6), revision),
+        'a bad spec': stored(configs.spec(6) | {'kinds': []}, revision),
+        'not JSON': '{',
+        'a tombstone': stored(None, revision),
+        'no key': None,
+    }
+    change = Change(KEY, revision, values[what])
+    ((_, context.adoption),) = context.feed.on_changes(6, [change])
+
+
+@then('the change is "{adoption}" and revision {stays:d} is in force')
+def step_in_force(context, adoption, stays):
+    front = context.book.find(KEY)
+    assert context.adoption.value == adoption, context.adoption
+    assert (front.revision if front else 0) == stays
+
+
+@then('a new node that pulls from it in pieces is synced at position 5')
+def step_pull(context):
+    more = Change('south', 3, stored(configs.spec(3), 3))
+    context.book.adopt(more)
+    book, is_last = FrontBook(), False
+    while not is_last:
+        assert not book.is_synced
+        raw = export_changes(context.book, book.position, 1)
+        is_last = absorb_changes(book, raw).is_last
+    assert book.is_synced and book.position == 5
+    assert book.names == ['north', 'south']
+
+
+@then('a new node that pulls from a node that is not synced is not synced')
+def step_not_synced(context):
+    book = FrontBook()
+    absorb_changes(book, export_changes(FrontBook(), 0))
+    assert not book.is_synced
+
+
+@then('the faults of a spec with seven faults have these paths')
+def step_faults(context):
+    replica = {'name': 'r', 'address': 'nowhere', 'zone': 'a'}
+    good = replica | {'address': 'h:1'}
+    shards = [
+        {'name': 's', 'replicas': [replica]},
+        {'name': 's', 'replicas': [good]},
+    ]
+    spec = {
+        'shard_maps': [{'version': 0, 'shards': shards}],
+        'callers': [{'name': 'c', 'token_sha256': 'x'}],
+        'kinds': [{'deadline_ms': 0}],
+        'surplus': 1,
+    }
+    found = {fault['path'] for fault in check_spec(spec)}
+    assert found == {row['path'] for row in context.table}, found
+    assert not check_spec(configs.spec(1))
+
+
+@then('{count:d} nodes hold at most 5 watches')
+def step_watches(context, count):
+    members = frozenset(f'node-{number}' for number in range(count))
+    watching = [name for name in members if is_watcher(name, members)]
+    assert len(watching) == min(5, count), watching
+    context.members = count
+
+
+@then('their checks stay under {rate:d} reads a second and {bound:d} seconds')
+def step_checks(context, rate, bound):
+    period = [check_period(context.members, at / 100) for at in range(101)]
+    assert max(period) <= bound
+    assert context.members / min(period) <= rate
+
+
+@then('a history of 3 events that had 5 starts after the second')
+def step_history(context):
+    history = History(3)
+    for revision in range(1, 6):
+        history.record(FrontEvent('f', revision, Adoption.adopted))
+    assert history.between(1, 9) is None
+    assert [one.revision for one in history.between(2, 4)] == [3, 4]
