--- a/packages/node/src/crocusroad_node/gathers/_driver.py
+++ b/packages/node/src/crocusroad_node/gathers/_driver.py
@@ -58,7 +58,7 @@
         self._done: asyncio.Future[Finish] = self._loop.create_future()
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._wake_at = 0.0  # seconds, clock of the loop
+        self._wake_at: float = 0  # seconds, clock of the loop
 
     async def run(self) -> Finish:
         """Run to the end."""
--- /dev/null
+++ b/packages/node/src/crocusroad_node/operators/_desk.py
@@ -0,0 +1,17 @@
+"""What the operators' interface works on."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from crocusroad_core.configs import FrontBook
+from crocusroad_node.configs import FrontStore
+from crocusroad_wire import NodeStatus
+
+
+class OperatorDesk(NamedTuple):
+    """The parts of a node that operators see and change."""
+
+    store: FrontStore
+    book: FrontBook
+    positions: Callable[[], dict[str, int]]  # by node that is seen
+    status: Callable[[], NodeStatus]
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -4,19 +4,19 @@
 import signal
 from random import Random
 
-from crocusroad_core.admission import ConcurrencyLimit, Door, LiveCount
 from crocusroad_core.configs import Feed, FrontBook
 from crocusroad_core.fronts import Front, Replica
 from crocusroad_core.gather import Policy
 from crocusroad_node.callers import build_caller_app
 from crocusroad_node.configs import FrontStore, Surroundings, watch_fronts
 from crocusroad_node.life import NodeLife
-from crocusroad_node.operators import build_operator_app
+from crocusroad_node.operators import OperatorDesk, build_operator_app
 from crocusroad_node.platform import HttpKeyValue
-from crocusroad_node.serving import SearchService, watch_lag
+from crocusroad_node.serving import SearchService
 from crocusroad_node.settings import Settings
 from crocusroad_node.upstreams import UpstreamClient
 from crocusroad_node.web import serve_app
+from crocusroad_wire import NodeStatus
 
 LINKS_PER_REPLICA = 3
 HEDGE_SECONDS = 0.05
@@ -30,29 +30,39 @@
     kv = HttpKeyValue(cfg.platform_kv)
     book = FrontBook()
     upstreams = UpstreamClient(LINKS_PER_REPLICA, _agent(cfg))
-    door = Door(ConcurrencyLimit(), LiveCount())
-    policy_for = _policy_maker(Random())  # noqa: S311
-    service = SearchService(book, upstreams, policy_for, door=door)
+    service = SearchService(book, upstreams, _policy_maker(Random()))  # noqa: S311
     callers = build_caller_app(service, life)
-    operators = build_operator_app(
-        FrontStore(kv),
-        cfg.operators_token_sha256,
+    desk = OperatorDesk(
+        store=FrontStore(kv),
+        book=book,
+        positions=lambda: {cfg.instance_name: book.position},
+        status=lambda: _status(cfg, life, book),
     )
+    operators = build_operator_app(desk, cfg.operators_token_sha256)
     _listen_to_signals(life)
     watcher = asyncio.create_task(
         watch_fronts(kv, Feed(book), _surroundings(cfg, life)),
     )
-    lag = asyncio.create_task(watch_lag(door))
     async with asyncio.TaskGroup() as group:
         group.create_task(serve_app(callers, cfg.callers_listen, stop))
         group.create_task(serve_app(operators, cfg.operators_listen, stop))
         group.create_task(_drain(life, stop))
     watcher.cancel()
-    lag.cancel()
     await upstreams.close()
     life.finish()
 
 
+def _status(cfg: Settings, life: NodeLife, book: FrontBook) -> NodeStatus:
+    return NodeStatus(
+        instance=cfg.instance_name,
+        zone=cfg.instance_zone,
+        state=life.state,
+        position=book.position,
+        fronts={name: book.revision(name) for name in book.names},
+        peers=[],
+    )
+
+
 def _agent(cfg: Settings) -> str:
     return f'crocusroad ({cfg.instance_name}; zone={cfg.instance_zone})'
 
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -105,16 +105,7 @@
 
     def start_node(self, name, port, zone, **sections):
         base = self.base + port
-        file = self.folder / f'{name}.ini'
-        file.write_text(
-            f'[instance]\nname = {name}\nzone = {zone}\ncluster = demo\n'
-            f'[callers]\nlisten = 127.0.0.1:{base}\n'
-            f'[operators]\nlisten = 127.0.0.1:{base + 1}\n'
-            f'token_sha256 = {digest(OPERATOR_TOKEN)}\n'
-            f'[peers]\nlisten = 127.0.0.1:{base + 2}\n'
-            f'[platform]\nkv = http://{self.platform}\n'
-            f'instances = http://{self.platform}\n' + render(sections)
-        )
+        file = self.write_settings(name, port, zone, **sections)
         self.spawn(name, [str(BIN / 'crocusroad'), 'run', str(file)])
         self.listed.append(
             {
@@ -128,6 +119,20 @@
         self.publish()
         return f'http://127.0.0.1:{base}', f'http://127.0.0.1:{base + 1}'
 
+    def write_settings(self, name, port, zone, **sections):
+        base = self.base + port
+        file = self.folder / f'{name}.ini'
+        file.write_text(
+            f'[instance]\nname = {name}\nzone = {zone}\ncluster = demo\n'
+            f'[callers]\nlisten = 127.0.0.1:{base}\n'
+            f'[operators]\nlisten = 127.0.0.1:{base + 1}\n'
+            f'token_sha256 = {digest(OPERATOR_TOKEN)}\n'
+            f'[peers]\nlisten = 127.0.0.1:{base + 2}\n'
+            f'[platform]\nkv = http://{self.platform}\n'
+            f'instances = http://{self.platform}\n' + render(sections)
+        )
+        return file
+
     def publish(self):
         call(f'http://{self.platform}/instances', self.listed, 'PUT')
 
