--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -54,6 +54,14 @@
     'crocusroad_requests_in_flight',
     'Requests of callers in progress.',
 )
+ADMITTED = Gauge(
+    'crocusroad_requests_admitted',
+    'Requests that hold a ticket.',
+)
+LIMIT = Gauge(
+    'crocusroad_requests_limit',
+    'Requests that the adaptive limit lets in at once.',
+)
 REVISION = Gauge(
     'crocusroad_front_revision',
     'Revision of each front in force on this node.',
@@ -76,9 +84,11 @@
 
 __all__ = [
     'ADOPTIONS',
+    'ADMITTED',
     'ATTEMPTS',
     'ATTEMPT_FAULTS',
     'IN_FLIGHT',
+    'LIMIT',
     'LOST',
     'MISSING',
     'OUTCOMES',
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -4,6 +4,7 @@
 import signal
 from random import Random
 
+from crocusroad_core.admission import ConcurrencyLimit, Door, LiveCount
 from crocusroad_core.configs import Feed, FrontBook
 from crocusroad_core.fronts import Front, Replica
 from crocusroad_core.gather import Policy
@@ -12,7 +13,7 @@
 from crocusroad_node.life import NodeLife
 from crocusroad_node.operators import OperatorDesk, build_operator_app
 from crocusroad_node.platform import HttpKeyValue
-from crocusroad_node.serving import SearchService
+from crocusroad_node.serving import SearchService, watch_lag
 from crocusroad_node.settings import Settings
 from crocusroad_node.upstreams import UpstreamClient
 from crocusroad_node.web import serve_app
@@ -30,7 +31,9 @@
     kv = HttpKeyValue(cfg.platform_kv)
     book = FrontBook()
     upstreams = UpstreamClient(LINKS_PER_REPLICA, _agent(cfg))
-    service = SearchService(book, upstreams, _policy_maker(Random()))  # noqa: S311
+    door = Door(ConcurrencyLimit(), LiveCount())
+    policy_for = _policy_maker(Random())  # noqa: S311
+    service = SearchService(book, upstreams, policy_for, door=door)
     callers = build_caller_app(service, life)
     desk = OperatorDesk(
         store=FrontStore(kv),
@@ -43,11 +46,13 @@
     watcher = asyncio.create_task(
         watch_fronts(kv, Feed(book), _surroundings(cfg, life)),
     )
+    lag = asyncio.create_task(watch_lag(door))
     async with asyncio.TaskGroup() as group:
         group.create_task(serve_app(callers, cfg.callers_listen, stop))
         group.create_task(serve_app(operators, cfg.operators_listen, stop))
         group.create_task(_drain(life, stop))
     watcher.cancel()
+    lag.cancel()
     await upstreams.close()
     life.finish()
 
--- a/packages/node/src/crocusroad_node/serving/__init__.py
+++ b/packages/node/src/crocusroad_node/serving/__init__.py
@@ -1,7 +1,8 @@
 """Serving of callers' requests, from admission to the merged answer."""
 
+from crocusroad_node.serving._admission import watch_lag
 from crocusroad_node.serving._call import SearchCall
 from crocusroad_node.serving._crash_guard import NO_GUARD, CrashGuard
 from crocusroad_node.serving._search import SearchService
 
-__all__ = ['NO_GUARD', 'CrashGuard', 'SearchCall', 'SearchService']
+__all__ = ['NO_GUARD', 'CrashGuard', 'SearchCall', 'SearchService', 'watch_lag']
--- a/packages/node/src/crocusroad_node/serving/_search.py
+++ b/packages/node/src/crocusroad_node/serving/_search.py
@@ -6,11 +6,13 @@
 
 from returns.result import Failure, Result, Success
 
+from crocusroad_core.admission import ConcurrencyLimit, Door, LiveCount
 from crocusroad_core.configs import FrontBook
-from crocusroad_core.fronts import Front, RequestKind
+from crocusroad_core.fronts import Caller, Front, RequestKind
 from crocusroad_core.gather import Policy
 from crocusroad_core.refusals import Refusal, refuse
 from crocusroad_core.snapshots import VersionView
+from crocusroad_node.serving._admission import run_admitted
 from crocusroad_node.serving._call import SearchCall
 from crocusroad_node.serving._crash_guard import NO_GUARD, CrashGuard
 from crocusroad_node.serving._fan_out import FanOut
@@ -22,6 +24,7 @@
 
 class _Admitted(NamedTuple):
     front: Front
+    caller: Caller
     kind: RequestKind
 
 
@@ -35,8 +38,10 @@
         policy_for: Callable[[Front], Policy],
         versions: VersionView | None = None,
         guard: CrashGuard = NO_GUARD,
+        door: Door | None = None,
     ) -> None:
         self._book = book
+        self._door = door or Door(ConcurrencyLimit(), LiveCount())
         self._fan_out = FanOut(upstreams, policy_for, versions, guard)
 
     async def search(self, call: SearchCall) -> Result[Answer, Refusal]:
@@ -44,17 +49,23 @@
         admitted = self._admit(call)
         if not isinstance(admitted, Success):
             return Failure(admitted.failure())
-        front, kind = admitted.unwrap()
+        front, caller, kind = admitted.unwrap()
         budget = _budget(call.request, kind)
         deadline = asyncio.get_running_loop().time() + budget
-        return await self._fan_out.run(call, front, kind, deadline)
+        return await run_admitted(
+            self._door,
+            (front, caller, kind),
+            budget,
+            lambda: self._fan_out.run(call, front, kind, deadline),
+        )
 
     def _admit(self, call: SearchCall) -> Result[_Admitted, Refusal]:
         front = self._book.find(call.front)
         if front is None:
             kind = ProblemKind.unknown_front
             return Failure(refuse(kind, f'no front {call.front!r}'))
-        if call.token_sha256 not in front.callers:
+        caller = front.callers.get(call.token_sha256)
+        if caller is None:
             detail = f'the front {front.name!r} does not know this token'
             return Failure(refuse(ProblemKind.unauthorized, detail))
         wanted = call.request['kind']
@@ -62,7 +73,7 @@
         if accepted is None:
             detail = f'the front {front.name!r} has no kind {wanted!r}'
             return Failure(refuse(ProblemKind.unknown_kind, detail))
-        return Success(_Admitted(front, accepted))
+        return Success(_Admitted(front, caller, accepted))
 
 
 def _budget(request: SearchRequest, kind: RequestKind) -> float:
