Stop requests that crash upstreams after two of them

Cause: nothing knew a request by what it asks, so its repeats at other instances crashed one upstream after the other, and a fan-out crashed one replica of every shard (the scenario without a guard crashes more than 2).

Ruled out: a KV read before each fresh query (80 to 310 reads a second at today's eight instances, and an outage would stop all); a KV counter alone (a repeat in flight elsewhere does not read it); blame by all crashes of a fan-out (a lost zone would quarantine popular queries).

Change: fingerprints, a book of crashes as pure state, an order of canaries that all instances work out alike, reports acknowledged before the loss is passed on, suspects kept apart; hooks check and steer in the crash guard. Not wired into the root yet.

Seen red: no canary, late reports and no guard break the bound of two.

--- /dev/null
+++ b/packages/core/src/crocusroad_core/poison/_book.py
@@ -0,0 +1,117 @@
+"""What one instance knows of the fingerprints it saw."""
+
+from crocusroad_core.poison._case import Case
+from crocusroad_core.poison._recent import RecentTable
+from crocusroad_core.refusals import Refusal, refuse
+from crocusroad_wire import CrashReport, ProblemKind
+
+CLEARED_ENTRIES = 100_000
+CASE_ENTRIES = 10_000
+CLEARED_SECONDS = 600.0
+CASE_SECONDS = 600.0
+
+
+class PoisonBook:
+    """The state of each fingerprint: new, cleared, suspect, quarantined.
+
+    A fingerprint that expires is new again: it runs as a canary.
+    """
+
+    def __init__(self) -> None:
+        self._cleared: RecentTable[bool] = RecentTable(
+            CLEARED_ENTRIES,
+            CLEARED_SECONDS,
+        )
+        self._cases: RecentTable[Case] = RecentTable(
+            CASE_ENTRIES,
+            CASE_SECONDS,
+        )
+        self._runs: dict[str, str] = {}  # suspect's run by upstream
+
+    @property
+    def size(self) -> tuple[int, int]:
+        """Return the cleared and the accused fingerprints held."""
+        return len(self._cleared), len(self._cases)
+
+    def check(self, print_: str, now: float) -> Refusal | None:
+        """Return the refusal of a quarantined fingerprint."""
+        case = self._cases.find(print_, now)
+        if case is None or not case.is_proved:
+            return None
+        return refuse(
+            ProblemKind.quarantined,
+            'upstreams broke twice while they ran this request',
+            retry_after=self._cases.left(print_, now),
+        )
+
+    def needs_canary(self, print_: str, now: float) -> bool:
+        """Tell whether one upstream has to run the request first."""
+        return self._cleared.find(print_, now) is None
+
+    def is_suspect(self, print_: str, now: float) -> bool:
+        """Tell whether an upstream broke under the fingerprint lately."""
+        return self._cases.find(print_, now) is not None
+
+    def enter(self, print_: str, upstream: str, now: float) -> bool:
+        """Begin a run; return False if another suspect runs there.
+
+        Only suspects are kept apart; any other request may share.
+        """
+        if not self.is_suspect(print_, now):
+            return True
+        return self._runs.setdefault(upstream, print_) == print_
+
+    def leave(self, print_: str, upstream: str) -> None:
+        """End a run."""
+        if self._runs.get(upstream) == print_:
+            del self._runs[upstream]
+
+    def on_crash(
+        self,
+        print_: str,
+        upstream: str,
+        now: float,
+        *,
+        is_alone: bool,
+    ) -> CrashReport | None:
+        """Blame a fingerprint; return the news for the other instances.
+
+        Args:
+            print_: The fingerprint that the upstream was running.
+            upstream: The name of the upstream that broke.
+            now: The present time.
+            is_alone: Whether it ran as a canary, on no other upstream.
+
+        Returns:
+            None if nothing new is known by it.
+        """
+        known = self._cases.find(print_, now) or Case()
+        if known.fanned and not is_alone:
+            return None
+        names = frozenset((upstream,))
+        case = Case(alone=names) if is_alone else Case(fanned=names)
+        joined = known.join(case)
+        if joined == known:
+            return None
+        self._accuse(print_, joined, now)
+        return CrashReport(print_, sorted(joined.alone), sorted(joined.fanned))
+
+    def on_answer(self, print_: str, now: float) -> None:
+        """Clear a fingerprint whose canary or fan-out answered.
+
+        A fingerprint with two crashes stays refused until it expires.
+        """
+        case = self._cases.find(print_, now)
+        if case is None or not case.is_proved:
+            self._cases.drop(print_)
+            self._cleared.put(print_, True, now)
+
+    def on_report(self, report: CrashReport, now: float) -> None:
+        """Take the news of another instance."""
+        case = Case(frozenset(report.alone), frozenset(report.fanned))
+        known = self._cases.find(report.fingerprint, now) or Case()
+        self._accuse(report.fingerprint, known.join(case), now)
+
+    def _accuse(self, print_: str, case: Case, now: float) -> None:
+        self._cleared.drop(print_)
+        self._cases.put(print_, case, now)
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -54,6 +54,11 @@
     'crocusroad_requests_in_flight',
     'Requests of callers in progress.',
 )
+POISON = Counter(
+    'crocusroad_poison',
+    'What was done against requests that crash upstreams.',
+    ['event'],
+)
 ADMITTED = Gauge(
     'crocusroad_requests_admitted',
     'Requests that hold a ticket.',
@@ -92,6 +97,7 @@
     'LOST',
     'MISSING',
     'OUTCOMES',
+    'POISON',
     'REFUSALS',
     'REGISTRY',
     'REQUESTS',
--- a/packages/node/src/crocusroad_node/serving/__init__.py
+++ b/packages/node/src/crocusroad_node/serving/__init__.py
@@ -3,6 +3,14 @@
 from crocusroad_node.serving._admission import watch_lag
 from crocusroad_node.serving._call import SearchCall
 from crocusroad_node.serving._crash_guard import NO_GUARD, CrashGuard
+from crocusroad_node.serving._poison import build_crash_guard
 from crocusroad_node.serving._search import SearchService
 
-__all__ = ['NO_GUARD', 'CrashGuard', 'SearchCall', 'SearchService', 'watch_lag']
+__all__ = [
+    'NO_GUARD',
+    'CrashGuard',
+    'SearchCall',
+    'SearchService',
+    'build_crash_guard',
+    'watch_lag',
+]
--- /dev/null
+++ b/packages/node/src/crocusroad_node/serving/_crash_watch.py
@@ -0,0 +1,98 @@
+"""Upstreams as one search reaches them, its crashes watched."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure, Result, Success
+
+from crocusroad_core.fronts import Replica
+from crocusroad_core.gather import FailureReason
+from crocusroad_core.poison import PoisonBook
+from crocusroad_node.counters import POISON
+from crocusroad_node.upstreams import QueryResult, Upstreams
+from crocusroad_wire import CrashReport, UpstreamHealth, UpstreamQuery
+
+Tell = Callable[[CrashReport], Awaitable[None]]
+
+
+class CrashWatch:
+    """Passes sub-requests of one search on and blames it for crashes.
+
+    A failure by crash is returned only after it was told to the other
+    instances, so that neither a retry nor the caller's repeat comes first.
+    """
+
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        book: PoisonBook,
+        print_: str,
+        pair: frozenset[str],
+        tell: Tell,
+    ) -> None:
+        self._upstreams = upstreams
+        self._book = book
+        self._print = print_
+        self._pair = pair
+        self._tell = tell
+        self._clock = asyncio.get_running_loop().time
+        self.is_alone = book.needs_canary(print_, self._clock())
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether an upstream broke under the search lately."""
+        return self._book.is_suspect(self._print, now)
+
+    async def query(
+        self,
+        replica: Replica,
+        message: UpstreamQuery,
+        timeout: float,
+    ) -> QueryResult:
+        """Run a sub-request where it may run."""
+        if not self._enter(replica.name):
+            POISON.labels('held').inc()
+            return Failure(FailureReason.rejected)
+        try:
+            outcome = await self._upstreams.query(replica, message, timeout)
+        finally:
+            self._book.leave(self._print, replica.name)
+        await self._note(replica.name, outcome)
+        return outcome
+
+    async def health(
+        self,
+        replica: Replica,
+        timeout: float,
+    ) -> Result[UpstreamHealth, FailureReason]:
+        """Return what the replica reports of itself."""
+        return await self._upstreams.health(replica, timeout)
+
+    async def close(self) -> None:
+        """Leave the connections open; they belong to the node."""
+
+    def _enter(self, upstream: str) -> bool:
+        now = self._clock()
+        if self._book.check(self._print, now) is not None:
+            return False
+        is_bound = self.is_alone and self.is_suspect(now)
+        if is_bound and upstream not in self._pair:
+            return False
+        return self._book.enter(self._print, upstream, now)
+
+    async def _note(self, upstream: str, outcome: QueryResult) -> None:
+        if isinstance(outcome, Success):
+            self.is_alone = False
+            self._book.on_answer(self._print, self._clock())
+        elif outcome.failure() is FailureReason.broken:
+            await self._blame(upstream)
+
+    async def _blame(self, upstream: str) -> None:
+        POISON.labels('blamed').inc()
+        report = self._book.on_crash(
+            self._print,
+            upstream,
+            self._clock(),
+            is_alone=self.is_alone,
+        )
+        if report is not None:
+            await self._tell(report)
--- a/packages/node/src/crocusroad_node/serving/_fan_out.py
+++ b/packages/node/src/crocusroad_node/serving/_fan_out.py
@@ -68,8 +68,14 @@
         if version is None:
             detail = f'no index version of {front.name!r} is served now'
             return Failure(refuse(ProblemKind.no_snapshot, detail))
+        way = self._guard.steer(
+            call,
+            front.shard_maps[version],
+            self._policy_for(front),
+            self._upstreams,
+        )
         plan = Plan(
-            shard_map=front.shard_maps[version],
+            shard_map=way.shard_map,
             limit=call.request.get('limit', DEFAULT_LIMIT),
             deadline=deadline,
             is_repeatable=kind.is_repeatable,
@@ -77,8 +83,8 @@
             another=self._other_map_of(front),
         )
         finish = await run_gather(
-            Gather(plan, self._policy_for(front)),
-            self._upstreams,
+            Gather(plan, way.policy),
+            way.upstreams,
             _message_maker(call),
             self._observer(call),
         )
--- a/packages/node/src/crocusroad_node/serving/_search.py
+++ b/packages/node/src/crocusroad_node/serving/_search.py
@@ -42,6 +42,7 @@
     ) -> None:
         self._book = book
         self._door = door or Door(ConcurrencyLimit(), LiveCount())
+        self._guard = guard
         self._fan_out = FanOut(upstreams, policy_for, versions, guard)
 
     async def search(self, call: SearchCall) -> Result[Answer, Refusal]:
@@ -50,6 +51,9 @@
         if not isinstance(admitted, Success):
             return Failure(admitted.failure())
         front, caller, kind = admitted.unwrap()
+        quarantine = self._guard.check(call)
+        if quarantine is not None:
+            return Failure(quarantine)
         budget = _budget(call.request, kind)
         deadline = asyncio.get_running_loop().time() + budget
         return await run_admitted(
--- a/packages/wire/src/crocusroad_wire/__init__.py
+++ b/packages/wire/src/crocusroad_wire/__init__.py
@@ -15,6 +15,7 @@
     encode_json,
     encode_json_text,
 )
+from crocusroad_wire._crash_report import CrashReport
 from crocusroad_wire._front import (
     CallerSpec,
     FrontResource,
@@ -62,6 +63,7 @@
     'ChangeKind',
     'CheckReport',
     'Coverage',
+    'CrashReport',
     'DecodeError',
     'Fault',
     'FrontChange',
--- /dev/null
+++ b/tests/features/poison.feature
@@ -0,0 +1,62 @@
+Feature: Poison requests
+  A request that crashes what runs it stops after two upstreams.
+
+  Scenario Outline: Poison property <property>
+    Then every poison history keeps "<property>"
+
+    Examples:
+      | property                           |
+      | two_upstreams_in_a_connected_fleet |
+      | innocents_need_two_crashes         |
+      | tables_are_bounded                 |
+      | a_fan_out_alone_never_quarantines  |
+
+  Scenario Outline: The known-bad poison variant <property>
+    Then some poison history breaks "<property>"
+
+    Examples:
+      | property                        |
+      | two_upstreams_without_canaries  |
+      | two_upstreams_with_late_reports |
+
+  Scenario Outline: Crashes <crashes> of one fingerprint
+    Given crashes "<crashes>" of one fingerprint at second 0
+    Then at second <second> the fingerprint is "<state>"
+
+    Examples: A letter names the upstream; a: alone, f: in a fan-out
+      | crashes       | second | state       |
+      | a:U           | 1      | suspect     |
+      | a:U a:U       | 1      | suspect     |
+      | f:U f:V f:W   | 1      | suspect     |
+      | a:U a:V       | 1      | quarantined |
+      | f:U a:V       | 1      | quarantined |
+      | f:U a:U       | 1      | suspect     |
+      | a:U ok        | 1      | cleared     |
+      | a:U ok a:V    | 1      | suspect     |
+      | a:U a:V ok    | 1      | quarantined |
+      | a:U report:V  | 1      | quarantined |
+      | report:U      | 1      | suspect     |
+      | a:U a:V       | 600    | new         |
+      | ok            | 600    | new         |
+
+  Scenario Outline: Repeats at every instance in turn, reports <report>
+    Given a fleet whose crash reports are <report>
+    When the poison comes to each instance in turn, twice
+    Then the poison crashed at most 2 upstreams
+    And the last repeat is refused as quarantined, not run
+
+    Examples:
+      | report    |
+      | delivered |
+      | lost      |
+
+  Scenario: Repeats at every instance at once, beside innocents
+    Given a fleet whose crash reports are delivered
+    When the poison comes to all instances at once, beside innocents
+    Then the poison crashed at most 2 upstreams
+    And afterwards the poison is refused and the innocents are answered
+
+  Scenario: Without a guard the poison crashes more
+    Given a fleet without a crash guard
+    When the poison comes to each instance in turn, twice
+    Then the poison crashed more than 2 upstreams
--- /dev/null
+++ b/tests/features/steps/poison_fleet.py
@@ -0,0 +1,143 @@
+import asyncio
+
+from behave import given, then, when
+from returns.result import Success
+
+from crocusroad_core.configs import FrontBook
+from crocusroad_core.fronts import Caller, Front, RequestKind
+from crocusroad_core.gather import Policy
+from crocusroad_core.poison import PoisonBook
+from crocusroad_node.serving import (
+    NO_GUARD,
+    SearchCall,
+    SearchService,
+    build_crash_guard,
+)
+from tests.properties.poison import MAP, UPSTREAMS
+from tests.support.fake_upstreams import FakeUpstreams, poison, whole
+from tests.support.virtual_loop import run_virtual
+
+INSTANCES = 4
+FRONT = Front(
+    'front',
+    1,
+    {1: MAP},
+    {'token': Caller('caller', 'token', 10**6)},
+    {'find': RequestKind('find', 1, 2.0, True, 100)},
+)
+POLICY = Policy(
+    lambda shard, candidates, now: candidates[0],
+    lambda shard, now: None,
+    lambda now: True,
+)
+
+
+class OneFront(FrontBook):
+    def find(self, name):
+        return FRONT
+
+
+async def crash_on_poison(upstreams, replica, message, timeout):
+    """Crash what runs the poison, and all that runs beside it."""
+    if message['query'] == {'q': 'poison'}:
+        return await poison(upstreams, replica, message, timeout)
+    got = await whole(upstreams, replica, message, timeout)
+    if replica.name in upstreams.crashed:
+        return await poison(upstreams, replica, message, timeout)
+    return got
+
+
+class Cluster:
+    def __init__(self, report):
+        self.report = report
+        faults = dict.fromkeys(UPSTREAMS, crash_on_poison)
+        self.upstreams = FakeUpstreams(faults)
+        self.books = [PoisonBook() for _ in range(INSTANCES)]
+        self.services = [self.service(book) for book in self.books]
+
+    def service(self, book):
+        async def publish(news):
+            if self.report == 'lost':
+                await asyncio.sleep(60)
+            await asyncio.sleep(0.004)
+            for other in self.books:
+                now = asyncio.get_running_loop().time()
+                other.on_report(news, now)
+
+        guard = NO_GUARD
+        if self.report != 'none':
+            guard = build_crash_guard(book, publish)
+        return SearchService(
+            OneFront(),
+            self.upstreams,
+            lambda front: POLICY,
+            guard=guard,
+        )
+
+    async def ask(self, instance, query):
+        request = {'kind': 'find', 'query': {'q': query}}
+        call = SearchCall('id', 'front', 'token', request)
+        return await self.services[instance].search(call)
+
+
+@given('a fleet whose crash reports are {report}')
+def step_poison_fleet(context, report):
+    context.cluster = Cluster(report)
+
+
+@given('a fleet without a crash guard')
+def step_no_guard(context):
+    context.cluster = Cluster('none')
+
+
+@when('the poison comes to each instance in turn, twice')
+def step_in_turn(context):
+    async def main():
+        turns = list(range(INSTANCES)) * 2
+        cluster = context.cluster
+        return [await cluster.ask(one, 'poison') for one in turns]
+
+    context.answers = run_virtual(main())
+    context.crashed = context.cluster.upstreams.crashed
+
+
+@when('the poison comes to all instances at once, beside innocents')
+def step_at_once(context):
+    async def main():
+        cluster = context.cluster
+        calls = [
+            cluster.ask(one, name)
+            for name in ('poison', 'i1', 'i2', 'i3')
+            for one in range(INSTANCES)
+        ]
+        await asyncio.gather(*calls)
+        context.crashed = set(cluster.upstreams.crashed)
+        cluster.upstreams.crashed.clear()  # they are back
+        names = ('poison', 'i1', 'i2', 'i3')
+        return [await cluster.ask(0, name) for name in names]
+
+    context.answers = run_virtual(main())
+
+
+@then('the poison crashed at most {count:d} upstreams')
+def step_crashed(context, count):
+    assert 0 < len(context.crashed) <= count, context.crashed
+
+
+@then('the last repeat is refused as quarantined, not run')
+def step_last(context):
+    refusal = context.answers[-1].failure()
+    assert (refusal.kind.value, refusal.ran) == ('quarantined', 'no')
+    assert refusal.retry_after > 0
+
+
+@then('afterwards the poison is refused and the innocents are answered')
+def step_after(context):
+    first, *others = context.answers
+    assert first.failure().kind.value == 'quarantined', first
+    assert all(isinstance(one, Success) for one in others), others
+
+
+@then('the poison crashed more than {count:d} upstreams')
+def step_crashed_more(context, count):
+    assert len(context.crashed) > count, context.crashed
