Join nodes by an authenticated channel and drain without a cut

Cause: nodes had no way to speak to each other, and a stop waited one second and then left idle connections to uvicorn, which closes them at once. Ruled out: Push0 and Pull0 (two connections a pair for the same cost), TLS (certificates for machines that are replaced at any time), a fixed pause. Change: pynng Req0 and Rep0 with contexts and HMAC tags, replay guard, pull of newer configuration, publications by a relay tree; a gate that knows the requests in progress, closes connections by their answers while draining, and ends what is left with an answer. Settings [peers] keys and [limits] balancer_lag_seconds; faults don't show secret values. A decoder without the tag check fails the tampering property. The drain with real processes is not proved yet by this commit.

--- a/packages/core/src/crocusroad_core/members/__init__.py
+++ b/packages/core/src/crocusroad_core/members/__init__.py
@@ -10,6 +10,8 @@
 from crocusroad_core.members._members import Members
 from crocusroad_core.members._order import is_newer, order_of
 from crocusroad_core.members._outgoing import Outgoing, PeerKind
+from crocusroad_core.members._rate import RateLimit
+from crocusroad_core.members._replay import FrameMark, ReplayGuard
 from crocusroad_core.members._spread import (
     KEY_LIMIT,
     Branch,
@@ -21,6 +23,7 @@
 __all__ = [
     'KEY_LIMIT',
     'Branch',
+    'FrameMark',
     'ListedNode',
     'Member',
     'MemberState',
@@ -28,6 +31,8 @@
     'MembersConfig',
     'Outgoing',
     'PeerKind',
+    'RateLimit',
+    'ReplayGuard',
     'is_newer',
     'key_of',
     'order_of',
--- a/packages/core/src/crocusroad_core/members/_members.py
+++ b/packages/core/src/crocusroad_core/members/_members.py
@@ -81,7 +81,7 @@
     ) -> Heartbeat:
         """Take a heartbeat in and return its answer."""
         self.on_answer(heartbeat, now)
-        return self._heartbeat(heartbeat.sender.name, position)
+        return self.heartbeat_to(heartbeat.sender.name, position)
 
     def on_answer(self, heartbeat: Heartbeat, now: float) -> None:
         """Take the answer to a heartbeat in."""
@@ -217,10 +217,11 @@
         member: Member,
         position: int,
     ) -> Outgoing:
-        heartbeat = self._heartbeat(member.name, position)
+        heartbeat = self.heartbeat_to(member.name, position)
         return Outgoing(kind, member.name, member.address, heartbeat)
 
-    def _heartbeat(self, to: str, position: int) -> Heartbeat:
+    def heartbeat_to(self, to: str, position: int) -> Heartbeat:
+        """Return a heartbeat with the hearsay that is due."""
         held = self._table.find(to)
         first = []
         if held and held.state != MemberState.alive:
--- a/packages/node/src/crocusroad_node/life/__init__.py
+++ b/packages/node/src/crocusroad_node/life/__init__.py
@@ -1,5 +1,7 @@
 """The life of a node, from start to the end of its graceful stop."""
 
+from crocusroad_node.life._drain import DrainBounds, drain_node
+from crocusroad_node.life._gate import RequestGate
 from crocusroad_node.life._life import NodeLife
 
-__all__ = ['NodeLife']
+__all__ = ['DrainBounds', 'NodeLife', 'RequestGate', 'drain_node']
--- a/packages/node/src/crocusroad_node/life/_life.py
+++ b/packages/node/src/crocusroad_node/life/_life.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self.draining = asyncio.Event()
+        self.hurried = asyncio.Event()  # told twice to stop
         self._machine = Machine(
             states=list(LifeState),
             transitions=[list(one) for one in NODE_TRANSITIONS],
@@ -39,10 +40,13 @@
             self._machine.serve()
 
     def drain(self) -> None:
-        """Begin the graceful stop; has no effect the second time."""
-        if not self.draining.is_set():
-            self._machine.drain()
-            self.draining.set()
+        """Begin the graceful stop; the second time, hurry it."""
+        if self.draining.is_set():
+            note(_logger, 'told again to stop')
+            self.hurried.set()
+            return
+        self._machine.drain()
+        self.draining.set()
 
     def finish(self) -> None:
         """End the graceful stop."""
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -9,10 +9,22 @@
 from crocusroad_core.fronts import Front, Replica
 from crocusroad_core.gather import Policy
 from crocusroad_node.callers import build_caller_app
-from crocusroad_node.configs import FrontStore, Surroundings, watch_fronts
-from crocusroad_node.life import NodeLife
+from crocusroad_node.configs import FrontStore, watch_fronts
+from crocusroad_node.life import (
+    DrainBounds,
+    NodeLife,
+    RequestGate,
+    drain_node,
+)
 from crocusroad_node.operators import OperatorDesk, build_operator_app
-from crocusroad_node.platform import HttpKeyValue
+from crocusroad_node.peers import PeerService, build_peers
+from crocusroad_node.peers_root import (
+    build_surroundings,
+    leaver,
+    peer_statuses,
+    positions_seen,
+)
+from crocusroad_node.platform import HttpInstances, HttpKeyValue
 from crocusroad_node.serving import SearchService, watch_lag
 from crocusroad_node.settings import Settings
 from crocusroad_node.upstreams import UpstreamClient
@@ -21,7 +33,6 @@
 
 LINKS_PER_REPLICA = 3
 HEDGE_SECONDS = 0.05
-BALANCER_LAG_SECONDS = 1.0
 
 
 async def run_node(cfg: Settings) -> None:
@@ -35,36 +46,51 @@
     policy_for = _policy_maker(Random())  # noqa: S311
     service = SearchService(book, upstreams, policy_for, door=door)
     callers = build_caller_app(service, life)
+    peers = build_peers(cfg, book, Random())  # noqa: S311
     desk = OperatorDesk(
         store=FrontStore(kv),
         book=book,
-        positions=lambda: {cfg.instance_name: book.position},
-        status=lambda: _status(cfg, life, book),
+        positions=lambda: positions_seen(cfg, book, peers),
+        status=lambda: _status(cfg, life, book, peers),
     )
     operators = build_operator_app(desk, cfg.operators_token_sha256)
     _listen_to_signals(life)
-    watcher = asyncio.create_task(
-        watch_fronts(kv, Feed(book), _surroundings(cfg, life)),
-    )
-    lag = asyncio.create_task(watch_lag(door))
+    gates = (RequestGate(life), RequestGate(life))
+    around = build_surroundings(cfg, life, book, peers)
+    background = [
+        asyncio.create_task(watch_fronts(kv, Feed(book), around)),
+        asyncio.create_task(watch_lag(door)),
+    ]
+    if peers is not None:
+        instances = HttpInstances(cfg.platform_instances)
+        serving = peers.run(cfg.peers_listen, instances)
+        background.append(asyncio.create_task(serving))
     async with asyncio.TaskGroup() as group:
-        group.create_task(serve_app(callers, cfg.callers_listen, stop))
-        group.create_task(serve_app(operators, cfg.operators_listen, stop))
-        group.create_task(_drain(life, stop))
-    watcher.cancel()
-    lag.cancel()
+        for gate, app, listen in (
+            (gates[0], callers, cfg.callers_listen),
+            (gates[1], operators, cfg.operators_listen),
+        ):
+            group.create_task(serve_app(gate.guard(app), listen, stop))
+        await drain_node(life, gates, leaver(peers), _drain_bounds(cfg))
+        stop.set()
+    for task in background:
+        task.cancel()
+    if peers is not None:
+        peers.close()
     await upstreams.close()
     life.finish()
 
 
-def _status(cfg: Settings, life: NodeLife, book: FrontBook) -> NodeStatus:
+def _status(
+    cfg: Settings, life: NodeLife, book: FrontBook, peers: PeerService | None
+) -> NodeStatus:
     return NodeStatus(
         instance=cfg.instance_name,
         zone=cfg.instance_zone,
         state=life.state,
         position=book.position,
         fronts={name: book.revision(name) for name in book.names},
-        peers=[],
+        peers=peer_statuses(peers),
     )
 
 
@@ -72,16 +98,10 @@
     return f'crocusroad ({cfg.instance_name}; zone={cfg.instance_zone})'
 
 
-def _surroundings(cfg: Settings, life: NodeLife) -> Surroundings:
-    async def pull() -> bool:
-        return False
-
-    return Surroundings(
-        own_name=cfg.instance_name,
-        members=lambda: frozenset((cfg.instance_name,)),
-        pull=pull,
-        on_synced=life.serve,
-        rng=Random(),  # noqa: S311
+def _drain_bounds(cfg: Settings) -> DrainBounds:
+    return DrainBounds(
+        cfg.limits_balancer_lag_seconds,
+        cfg.limits_drain_seconds,
     )
 
 
@@ -91,12 +111,6 @@
         loop.add_signal_handler(signum, life.drain)
 
 
-async def _drain(life: NodeLife, stop: asyncio.Event) -> None:
-    await life.draining.wait()
-    await asyncio.sleep(BALANCER_LAG_SECONDS)
-    stop.set()
-
-
 def _policy_maker(rng: Random):  # type: ignore[no-untyped-def]
     def pick(
         shard: str,
--- a/packages/node/src/crocusroad_node/settings/_load.py
+++ b/packages/node/src/crocusroad_node/settings/_load.py
@@ -12,6 +12,8 @@
 
 Faults = tuple[SettingFault, ...]
 
+HIDDEN = '(hidden)'
+
 
 def load_settings(path: Path) -> Result[Settings, Faults]:
     """Return the settings that a file holds, or every fault it has."""
@@ -55,7 +57,8 @@
     remedy = rule.remedy
     if raw is None:
         remedy = f'missing; {remedy}'
-    return SettingFault(str(path), section, key, raw or '', remedy)
+    shown = HIDDEN if raw and rule.is_secret else raw or ''
+    return SettingFault(str(path), section, key, shown, remedy)
 
 
 def _unknown(path: Path, parser: ConfigParser) -> Iterator[SettingFault]:
--- a/packages/node/src/crocusroad_node/settings/_schema.py
+++ b/packages/node/src/crocusroad_node/settings/_schema.py
@@ -10,6 +10,7 @@
 _NAME = re.compile(r'^[a-z0-9][a-z0-9.-]{0,62}$')
 _ADDRESS = re.compile(r'^[0-9.]+:\d{1,5}$')
 _URL = re.compile(r'^https?://[0-9a-zA-Z.:-]+$')
+_KEYS = re.compile(r'^([0-9a-f]{64}(,\s*[0-9a-f]{64}){0,3})?$')
 _DIGEST = re.compile(r'^[0-9a-f]{64}$')
 _LEVELS = frozenset(('debug', 'info', 'warning', 'error'))
 _FORMATS = frozenset(('json', 'text'))
@@ -21,6 +22,7 @@
     check: Check
     remedy: str
     default: str | None = None  # None: the key has to be given
+    is_secret: bool = False  # a fault doesn't show the value
 
 
 Rules = Mapping[str, Rule]
@@ -67,13 +69,27 @@
             'give the SHA-256 of the operator token as 64 hex digits',
         ),
     },
-    'peers': {'listen': Rule(matching(_ADDRESS), _LISTEN)},
+    'peers': {
+        'listen': Rule(matching(_ADDRESS), _LISTEN),
+        'keys': Rule(
+            matching(_KEYS),
+            'give 1 to 4 keys of 64 hex digits, split by commas; '
+            'the first one signs; empty: the node has no peers',
+            default='',
+            is_secret=True,
+        ),
+    },
     'platform': {
         'kv': Rule(matching(_URL), _LOCATION),
         'instances': Rule(matching(_URL), _LOCATION),
     },
     'limits': {
         'extra_load': Rule(number(0, 1), 'give a share from 0 to 1', '0.05'),
+        'balancer_lag_seconds': Rule(
+            number(0, 300),
+            'give seconds from 0 to 300',
+            '1',
+        ),
         'drain_seconds': Rule(
             number(1, 3600),
             'give seconds from 1 to 3600',
--- a/packages/node/src/crocusroad_node/settings/_settings.py
+++ b/packages/node/src/crocusroad_node/settings/_settings.py
@@ -13,9 +13,11 @@
     operators_listen: str  # host:port
     operators_token_sha256: str  # hex digest; empty: no operator is let in
     peers_listen: str  # host:port
+    peers_keys: str  # hex, split by commas; secret; empty: no peers
     platform_kv: str  # URL
     platform_instances: str  # URL
     limits_extra_load: float  # share of the sub-requests
+    limits_balancer_lag_seconds: float
     limits_drain_seconds: float
     logs_format: str  # 'json' or 'text'
     logs_level: str
--- a/packages/node/src/crocusroad_node/web/_server.py
+++ b/packages/node/src/crocusroad_node/web/_server.py
@@ -4,10 +4,10 @@
 from contextlib import AbstractContextManager, nullcontext
 
 import uvicorn
-from starlette.applications import Starlette
+from starlette.types import ASGIApp
 
 KEEP_ALIVE_SECONDS = 75
-SHUTDOWN_SECONDS = 3600
+SHUTDOWN_SECONDS = 3  # for the last bytes; requests are answered by then
 
 
 class _Server(uvicorn.Server):
@@ -17,7 +17,7 @@
 
 
 async def serve_app(
-    app: Starlette,
+    app: ASGIApp,
     listen: str,
     stop: asyncio.Event,
 ) -> None:
--- a/packages/wire/src/crocusroad_wire/_peers.py
+++ b/packages/wire/src/crocusroad_wire/_peers.py
@@ -76,6 +76,7 @@
     sender: Name
     incarnation: Count
     serial: Count  # rises with each frame of an incarnation
+    reply_to: Count  # of an answer: the serial of its request; else 0
     sent_at: float  # Unix time in seconds
     body: bytes
 
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 OPERATOR_TOKEN = 'operator-token'
+PEER_KEY = '5e' * 32
 CALLER_TOKEN = 'caller-token'
 BIN = Path(sys.executable).parent
 
@@ -103,9 +104,9 @@
         module = 'tests.standins.upstream'
         self.spawn(name, [sys.executable, '-m', module, str(file)])
 
-    def start_node(self, name, port, zone, **sections):
+    def start_node(self, name, port, zone, peer_key=PEER_KEY, **sections):
         base = self.base + port
-        file = self.write_settings(name, port, zone, **sections)
+        file = self.write_settings(name, port, zone, peer_key, **sections)
         self.spawn(name, [str(BIN / 'crocusroad'), 'run', str(file)])
         self.listed.append(
             {
@@ -119,7 +120,7 @@
         self.publish()
         return f'http://127.0.0.1:{base}', f'http://127.0.0.1:{base + 1}'
 
-    def write_settings(self, name, port, zone, **sections):
+    def write_settings(self, name, port, zone, peer_key=PEER_KEY, **sections):
         base = self.base + port
         file = self.folder / f'{name}.ini'
         file.write_text(
@@ -127,7 +128,7 @@
             f'[callers]\nlisten = 127.0.0.1:{base}\n'
             f'[operators]\nlisten = 127.0.0.1:{base + 1}\n'
             f'token_sha256 = {digest(OPERATOR_TOKEN)}\n'
-            f'[peers]\nlisten = 127.0.0.1:{base + 2}\n'
+            f'[peers]\nlisten = 127.0.0.1:{base + 2}\nkeys = {peer_key}\n'
             f'[platform]\nkv = http://{self.platform}\n'
             f'instances = http://{self.platform}\n' + render(sections)
         )
--- a/tests/support/peers_net.py
+++ b/tests/support/peers_net.py
@@ -94,7 +94,7 @@
         self.compare(name, target)
 
     def probe_of(self, name):
-        return self.nodes[name]._heartbeat('', self.positions[name])
+        return self.nodes[name].heartbeat_to('', self.positions[name])
 
     def deliver(self, name, target, heartbeat):
         if not self.reaches(name, target):
