Keep suspects apart while the same one runs twice

Cause: the book noted one run for each upstream, so when two callers sent the same suspect and the first of its runs ended, another suspect was let in beside the second run. Two suspects on one upstream at a crash are both blamed, which is how an innocent is quarantined.

Ruled out: a wrong order of leave and blame (leave comes first in both).

Change: runs are counted for each upstream and a run remembers whether it was a suspect's as it began, so that only what entered leaves.

Conclusion: one instance never runs two suspects on one upstream.

--- a/packages/core/src/crocusroad_core/poison/__init__.py
+++ b/packages/core/src/crocusroad_core/poison/__init__.py
@@ -8,11 +8,13 @@
     fingerprint,
 )
 from crocusroad_core.poison._recent import RecentTable
+from crocusroad_core.poison._run import Run
 
 __all__ = [
     'Case',
     'PoisonBook',
     'RecentTable',
+    'Run',
     'canary_order',
     'canary_pair',
     'fingerprint',
--- a/packages/core/src/crocusroad_core/poison/_book.py
+++ b/packages/core/src/crocusroad_core/poison/_book.py
@@ -1,7 +1,10 @@
 """What one instance knows of the fingerprints it saw."""
 
+from collections import Counter
+
 from crocusroad_core.poison._case import Case
 from crocusroad_core.poison._recent import RecentTable
+from crocusroad_core.poison._run import Run
 from crocusroad_core.refusals import Refusal, refuse
 from crocusroad_wire import CrashReport, ProblemKind
 
@@ -26,7 +29,7 @@
             CASE_ENTRIES,
             CASE_SECONDS,
         )
-        self._runs: dict[str, str] = {}  # suspect's run by upstream
+        self._runs: dict[str, Counter[str]] = {}  # suspects by upstream
 
     @property
     def size(self) -> tuple[int, int]:
@@ -52,19 +55,27 @@
         """Tell whether an upstream broke under the fingerprint lately."""
         return self._cases.find(print_, now) is not None
 
-    def enter(self, print_: str, upstream: str, now: float) -> bool:
-        """Begin a run; return False if another suspect runs there.
+    def enter(self, print_: str, upstream: str, now: float) -> Run | None:
+        """Begin a run; return None if another suspect runs there.
 
         Only suspects are kept apart; any other request may share.
         """
-        if not self.is_suspect(print_, now):
-            return True
-        return self._runs.setdefault(upstream, print_) == print_
-
-    def leave(self, print_: str, upstream: str) -> None:
-        """End a run."""
-        if self._runs.get(upstream) == print_:
-            del self._runs[upstream]
+        run = Run(print_, upstream, self.is_suspect(print_, now))
+        if run.is_suspect:
+            running = self._runs.setdefault(upstream, Counter())
+            if running.keys() - {print_}:
+                return None
+            running[print_] += 1
+        return run
+
+    def leave(self, run: Run) -> None:
+        """End a run; each one that began has to end once."""
+        if not run.is_suspect:
+            return
+        running = self._runs[run.upstream]
+        running[run.fingerprint] -= 1
+        if not running[run.fingerprint]:
+            del self._runs[run.upstream]
 
     def on_crash(
         self,
--- a/packages/node/src/crocusroad_node/serving/_crash_watch.py
+++ b/packages/node/src/crocusroad_node/serving/_crash_watch.py
@@ -7,7 +7,7 @@
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather import FailureReason
-from crocusroad_core.poison import PoisonBook
+from crocusroad_core.poison import PoisonBook, Run
 from crocusroad_node.counters import POISON
 from crocusroad_node.upstreams import QueryResult, Upstreams
 from crocusroad_wire import CrashReport, UpstreamHealth, UpstreamQuery
@@ -49,13 +49,14 @@
         timeout: float,
     ) -> QueryResult:
         """Run a sub-request where it may run."""
-        if not self._enter(replica.name):
+        run = self._enter(replica.name)
+        if run is None:
             POISON.labels('held').inc()
             return Failure(FailureReason.rejected)
         try:
             outcome = await self._upstreams.query(replica, message, timeout)
         finally:
-            self._book.leave(self._print, replica.name)
+            self._book.leave(run)
         await self._note(replica.name, outcome)
         return outcome
 
@@ -70,13 +71,13 @@
     async def close(self) -> None:
         """Leave the connections open; they belong to the node."""
 
-    def _enter(self, upstream: str) -> bool:
+    def _enter(self, upstream: str) -> Run | None:
         now = self._clock()
         if self._book.check(self._print, now) is not None:
-            return False
+            return None
         is_bound = self.is_alone and self.is_suspect(now)
         if is_bound and upstream not in self._pair:
-            return False
+            return None
         return self._book.enter(self._print, upstream, now)
 
     async def _note(self, upstream: str, outcome: QueryResult) -> None:
--- a/tests/features/poison.feature
+++ b/tests/features/poison.feature
@@ -10,6 +10,7 @@
       | innocents_need_two_crashes         |
       | tables_are_bounded                 |
       | a_fan_out_alone_never_quarantines  |
+      | suspects_run_apart                 |
 
   Scenario Outline: The known-bad poison variant <property>
     Then some poison history breaks "<property>"
--- a/tests/properties/poison.py
+++ b/tests/properties/poison.py
@@ -73,7 +73,10 @@
         if self.fleet.variant == 'no-canary':
             return self.fan_out()
         for target in self.targets():
-            if fleet.is_up(target) and book.enter(self.name, target, fleet.now):
+            if not fleet.is_up(target):
+                continue
+            self.run = book.enter(self.name, target, fleet.now)
+            if self.run:
                 self.at, self.is_broken = target, False
                 self.tried.append(target)
                 fleet.running.append(self)
@@ -100,7 +103,7 @@
         if self.crashes and not self.is_broken:
             fleet.crash(self.at)
         fleet.running.remove(self)
-        self.book.leave(self.name, self.at)
+        self.book.leave(self.run)
         if not self.is_broken:
             self.book.on_answer(self.name, fleet.now)
             return self.finish('answered')
@@ -196,3 +199,23 @@
     assert book.needs_canary('innocent', 1.0) == bool(names)
     book.on_answer('innocent', 2.0)
     assert not book.needs_canary('innocent', 2.0)
+
+
+@given(st.lists(st.tuples(st.sampled_from('abc'), st.booleans()), max_size=40))
+def suspects_run_apart(history):
+    """Two suspects never share an upstream; each leaves room behind."""
+    book, held = PoisonBook(), []
+    for name, is_end in history:
+        if is_end and held:
+            book.leave(held.pop())
+            continue
+        if name != 'c':  # stays innocent, so it may share
+            book.on_crash(name, 'X', 0.0, is_alone=True)
+        run = book.enter(name, 'U', 0.0)
+        suspects = {one.fingerprint for one in held if one.is_suspect}
+        assert (run is None) == bool(name != 'c' and suspects - {name})
+        held.extend([run] if run else [])
+    for run in held:
+        book.leave(run)
+    book.on_crash('d', 'X', 0.0, is_alone=True)
+    assert book.enter('d', 'U', 0.0)
