Prove links before use and route every sub-request

Cause: aiosonic 1.3.3 hands a late answer to the next request on a connection, a link's limit was fixed whatever the number of instances, cancelled work ran on upstream, and waiting for a link was reported as silence, which may have run. Ruled out: closing each cancelled link at once, since each hedge would cost a new connection. Change: links are proved by a health request before the first query, checked for unread bytes before reuse, counted by this instance's part, kept after a cancel only if the answer still comes whole, and retired when silent while the replica answers on a new one. Router, budget, health poller and the instance list are wired in upstreams/_routed.py. Shown red: the plain library crosses answers (first scenario); a link that does not close and check its socket fails 5 of 27 scenarios; a pool without retirement fails the scenario of silent connections.

--- a/packages/core/src/crocusroad_core/links/_silence.py
+++ b/packages/core/src/crocusroad_core/links/_silence.py
@@ -20,7 +20,10 @@
         self._condemned_before = float('-inf')
 
     def on_silent(self, now: float) -> bool:
-        """Take a silent connection; True if older ones are now condemned."""
+        """Take a connection found silent; True if older ones are condemned.
+
+        `now` is when it was found, before the replica was tried on another.
+        """
         self._silent = [
             when for when in self._silent if now - when < WINDOW_SECONDS
         ]
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -36,6 +36,19 @@
     'Fan-out queries by how they ended.',
     ['outcome'],
 )
+EXTRA_REFUSED = Counter(
+    'crocusroad_extra_refused',
+    'Hedges and retries that the budget of extra load refused.',
+)
+LATE = Counter(
+    'crocusroad_answers_late',
+    'Answers that came after their sub-request was given up.',
+)
+LINKS = Counter(
+    'crocusroad_links',
+    'What happened to connections to replicas, by event.',
+    ['event'],
+)
 MISSING = Counter(
     'crocusroad_shards_missing',
     'Shards that an answer did not cover, by reason.',
@@ -92,8 +105,11 @@
     'ADMITTED',
     'ATTEMPTS',
     'ATTEMPT_FAULTS',
+    'EXTRA_REFUSED',
     'IN_FLIGHT',
+    'LATE',
     'LIMIT',
+    'LINKS',
     'LOST',
     'MISSING',
     'OUTCOMES',
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -6,8 +6,6 @@
 
 from crocusroad_core.admission import ConcurrencyLimit, Door, LiveCount
 from crocusroad_core.configs import Feed, FrontBook
-from crocusroad_core.fronts import Front, Replica
-from crocusroad_core.gather import Policy
 from crocusroad_node.callers import build_caller_app
 from crocusroad_node.configs import FrontStore, watch_fronts
 from crocusroad_node.life import (
@@ -27,13 +25,10 @@
 from crocusroad_node.platform import HttpInstances, HttpKeyValue
 from crocusroad_node.serving import SearchService, watch_lag
 from crocusroad_node.settings import Settings
-from crocusroad_node.upstreams import UpstreamClient
+from crocusroad_node.upstreams import route_upstreams
 from crocusroad_node.web import serve_app
 from crocusroad_wire import NodeStatus
 
-LINKS_PER_REPLICA = 3
-HEDGE_SECONDS = 0.05
-
 
 async def run_node(cfg: Settings) -> None:
     """Run a node until it is told to stop and has finished."""
@@ -41,10 +36,16 @@
     stop = asyncio.Event()
     kv = HttpKeyValue(cfg.platform_kv)
     book = FrontBook()
-    upstreams = UpstreamClient(LINKS_PER_REPLICA, _agent(cfg))
-    door = Door(ConcurrencyLimit(), LiveCount())
-    policy_for = _policy_maker(Random())  # noqa: S311
-    service = SearchService(book, upstreams, policy_for, door=door)
+    live = LiveCount()
+    door = Door(ConcurrencyLimit(), live)
+    listing = HttpInstances(cfg.platform_instances)
+    routed = route_upstreams(cfg, book, listing, live.see)
+    service = SearchService(
+        book,
+        routed.upstreams,
+        routed.policy_for,
+        door=door,
+    )
     callers = build_caller_app(service, life)
     peers = build_peers(cfg, book, Random())  # noqa: S311
     desk = OperatorDesk(
@@ -60,10 +61,10 @@
     background = [
         asyncio.create_task(watch_fronts(kv, Feed(book), around)),
         asyncio.create_task(watch_lag(door)),
+        asyncio.create_task(routed.watch()),
     ]
     if peers is not None:
-        instances = HttpInstances(cfg.platform_instances)
-        serving = peers.run(cfg.peers_listen, instances)
+        serving = peers.run(cfg.peers_listen, listing)
         background.append(asyncio.create_task(serving))
     async with asyncio.TaskGroup() as group:
         for gate, app, listen in (
@@ -77,7 +78,7 @@
         task.cancel()
     if peers is not None:
         peers.close()
-    await upstreams.close()
+    await routed.upstreams.close()
     life.finish()
 
 
@@ -94,10 +95,6 @@
     )
 
 
-def _agent(cfg: Settings) -> str:
-    return f'crocusroad ({cfg.instance_name}; zone={cfg.instance_zone})'
-
-
 def _drain_bounds(cfg: Settings) -> DrainBounds:
     return DrainBounds(
         cfg.limits_balancer_lag_seconds,
@@ -109,23 +106,3 @@
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, life.drain)
-
-
-def _policy_maker(rng: Random):  # type: ignore[no-untyped-def]
-    def pick(
-        shard: str,
-        candidates: tuple[Replica, ...],
-        now: float,
-    ) -> Replica | None:
-        return rng.choice(candidates)
-
-    policy = Policy(
-        pick,
-        hedge_delay=lambda shard, now: HEDGE_SECONDS,
-        spend=lambda now: True,
-    )
-
-    def policy_for(front: Front) -> Policy:
-        return policy
-
-    return policy_for
--- a/packages/node/src/crocusroad_node/settings/_schema.py
+++ b/packages/node/src/crocusroad_node/settings/_schema.py
@@ -13,6 +13,8 @@
 _KEYS = re.compile(r'^([0-9a-f]{64}(,\s*[0-9a-f]{64}){0,3})?$')
 _DIGEST = re.compile(r'^[0-9a-f]{64}$')
 _LEVELS = frozenset(('debug', 'info', 'warning', 'error'))
+_PICKS = frozenset(('adaptive', 'random', 'round-robin'))
+_HEDGES = frozenset(('adaptive', 'fixed', 'off'))
 _FORMATS = frozenset(('json', 'text'))
 
 
@@ -96,6 +98,18 @@
             '30',
         ),
     },
+    'routing': {
+        'pick': Rule(
+            one_of(_PICKS),
+            'give adaptive, random or round-robin',
+            'adaptive',
+        ),
+        'hedge': Rule(
+            one_of(_HEDGES),
+            'give adaptive, fixed or off',
+            'adaptive',
+        ),
+    },
     'logs': {
         'format': Rule(one_of(_FORMATS), 'give json or text', 'json'),
         'level': Rule(
--- a/packages/node/src/crocusroad_node/settings/_settings.py
+++ b/packages/node/src/crocusroad_node/settings/_settings.py
@@ -19,5 +19,7 @@
     limits_extra_load: float  # share of the sub-requests
     limits_balancer_lag_seconds: float
     limits_drain_seconds: float
+    routing_pick: str  # 'adaptive', 'random' or 'round-robin'
+    routing_hedge: str  # 'adaptive', 'fixed' or 'off'
     logs_format: str  # 'json' or 'text'
     logs_level: str
--- a/packages/node/src/crocusroad_node/upstreams/__init__.py
+++ b/packages/node/src/crocusroad_node/upstreams/__init__.py
@@ -5,6 +5,21 @@
 """
 
 from crocusroad_node.upstreams._client import UpstreamClient
+from crocusroad_node.upstreams._instance_list import follow_instances
+from crocusroad_node.upstreams._observed import ObservedUpstreams
+from crocusroad_node.upstreams._policies import build_policies
+from crocusroad_node.upstreams._poller import poll_health
 from crocusroad_node.upstreams._port import QueryResult, Upstreams
+from crocusroad_node.upstreams._routed import RoutedUpstreams, route_upstreams
 
-__all__ = ['QueryResult', 'UpstreamClient', 'Upstreams']
+__all__ = [
+    'ObservedUpstreams',
+    'QueryResult',
+    'RoutedUpstreams',
+    'UpstreamClient',
+    'Upstreams',
+    'build_policies',
+    'follow_instances',
+    'poll_health',
+    'route_upstreams',
+]
--- a/packages/node/src/crocusroad_node/upstreams/_client.py
+++ b/packages/node/src/crocusroad_node/upstreams/_client.py
@@ -1,41 +1,42 @@
 """The upstreams over HTTP."""
 
 import asyncio
+from collections.abc import Coroutine
 
-from aiosonic import HttpResponse
 from returns.result import Failure, Result, Success
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather import FailureReason
-from crocusroad_node.exchange_errors import CONNECT_ERRORS, EXCHANGE_ERRORS
-from crocusroad_node.upstreams._link import (
-    HEADER_REFUSED,
-    HEADER_REQUEST_ID,
-    Link,
+from crocusroad_core.links import InstanceView, connection_part
+from crocusroad_node.counters import LATE
+from crocusroad_node.upstreams._exchange import (
+    ask,
+    open_link,
+    prove_link,
+    read_health,
+    send_cancel,
 )
-from crocusroad_node.upstreams._pool import LinkPool
+from crocusroad_node.upstreams._link import Link
+from crocusroad_node.upstreams._pool import LinkPool, LinkResult
 from crocusroad_node.upstreams._port import QueryResult
-from crocusroad_wire import (
-    DecodeError,
-    UpstreamAnswer,
-    UpstreamHealth,
-    UpstreamQuery,
-    decode_json,
-    encode_json,
-)
+from crocusroad_wire import UpstreamHealth, UpstreamQuery
 
-PATH_QUERY = '/query'
-PATH_HEALTH = '/health'
-STATUS_OK = 200
+CANCEL_SECONDS = 0.5
+LATE_SECONDS = 0.25  # a cancelled query's answer is awaited this long
+OPENINGS = 16  # links opened at once, over all replicas
 
 
 class UpstreamClient:
     """Reaches replicas over HTTP, each through its own pool of links."""
 
-    def __init__(self, links_per_replica: int, agent: str) -> None:
-        self._links_per_replica = links_per_replica
-        self._agent = agent
+    def __init__(self, name: str, zone: str, view: InstanceView) -> None:
+        self._name = name
+        self._view = view
+        self._agent = f'crocusroad ({name}; zone={zone})'
+        self._loop = asyncio.get_running_loop()
         self._pools: dict[str, LinkPool] = {}
+        self._openings = asyncio.Semaphore(OPENINGS)
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def query(
         self,
@@ -43,12 +44,17 @@
         message: UpstreamQuery,
         timeout: float,
     ) -> QueryResult:
-        """Run a sub-request within `timeout` seconds."""
-        try:
-            async with asyncio.timeout(timeout):
-                return await self._query(replica, message)
-        except TimeoutError:
-            return Failure(FailureReason.silent)
+        """Run a sub-request within `timeout` seconds.
+
+        Cancelling the call cancels the work on the replica.
+        """
+        pool = self._pool(replica)
+        ends = self._loop.time() + timeout
+        taken = await _within(timeout, pool.acquire())
+        if not isinstance(taken, Success):
+            return Failure(taken.failure())
+        left = ends - self._loop.time()
+        return await self._query(pool, taken.unwrap(), message, left)
 
     async def health(
         self,
@@ -56,72 +62,125 @@
         timeout: float,
     ) -> Result[UpstreamHealth, FailureReason]:
         """Return what the replica reports of itself."""
-        link = Link(replica, self._agent)
+        pool = self._pool(replica)
+        link = pool.take_oldest()
+        if link is None:
+            taken = await _within(timeout, pool.acquire())
+            if not isinstance(taken, Success):
+                return Failure(taken.failure())
+            link = taken.unwrap()
         try:
-            async with asyncio.timeout(timeout):
-                response = await link.get(PATH_HEALTH)
-                return Success(
-                    decode_json(UpstreamHealth, await response.content()),
-                )
-        except TimeoutError:
-            return Failure(FailureReason.silent)
-        except EXCHANGE_ERRORS:
-            return Failure(FailureReason.broken)
+            outcome = await read_health(link, timeout, self._loop.time)
         finally:
-            link.close()
+            pool.release(link)
+        if not link.is_open:
+            pool.on_unproved()
+        return outcome
 
     async def close(self) -> None:
         """Close every idle connection."""
         for pool in self._pools.values():
             pool.close()
+        for task in self._tasks:
+            task.cancel()
 
     async def _query(
         self,
-        replica: Replica,
+        pool: LinkPool,
+        link: Link,
+        message: UpstreamQuery,
+        timeout: float,
+    ) -> QueryResult:
+        exchange = self._loop.create_task(self._ask(pool, link, message))
+        try:
+            await asyncio.wait((exchange,), timeout=timeout)
+        finally:
+            if not exchange.done():
+                self._start(self._reclaim(pool, exchange, message))
+        if exchange.done():
+            return exchange.result()
+        return Failure(FailureReason.silent)
+
+    async def _ask(
+        self,
+        pool: LinkPool,
+        link: Link,
         message: UpstreamQuery,
     ) -> QueryResult:
-        pool = self._pool(replica)
-        link = await pool.acquire()
         try:
-            return await _exchange(link, message)
-        except CONNECT_ERRORS:
-            return Failure(FailureReason.connect_refused)
-        except EXCHANGE_ERRORS:
-            return Failure(FailureReason.broken)
+            return await ask(link, message, self._loop.time)
+        finally:
+            pool.release(link)
+
+    async def _reclaim(
+        self,
+        pool: LinkPool,
+        exchange: asyncio.Task[QueryResult],
+        message: UpstreamQuery,
+    ) -> None:
+        """Cancel a sub-request, and keep its link if its answer still comes.
+
+        Without room for another link the one of the sub-request is closed
+        first, so that the cancel goes on the one that takes its place.
+        """
+        if not pool.has_room:
+            exchange.cancel()
+            await asyncio.wait((exchange,))
+        began = self._loop.time()
+        is_heard = await self._cancel(pool, message['request_id'])
+        if exchange.cancelled():
+            return
+        await asyncio.wait((exchange,), timeout=LATE_SECONDS)
+        if exchange.done():
+            LATE.inc()
+            return
+        exchange.cancel()
+        if is_heard:
+            pool.on_silent(began)
+
+    async def _cancel(self, pool: LinkPool, request_id: str) -> bool:
+        taken = await _within(CANCEL_SECONDS, pool.acquire())
+        if not isinstance(taken, Success):
+            return False
+        link = taken.unwrap()
+        try:
+            return await send_cancel(link, request_id, CANCEL_SECONDS)
         finally:
             pool.release(link)
 
     def _pool(self, replica: Replica) -> LinkPool:
         pool = self._pools.get(replica.address)
         if pool is None:
-            pool = LinkPool(replica, self._links_per_replica, self._agent)
+            pool = self._build_pool(replica)
             self._pools[replica.address] = pool
         return pool
 
+    def _build_pool(self, replica: Replica) -> LinkPool:
+        async def open_one() -> LinkResult:
+            async with self._openings:
+                return await open_link(replica, self._agent, self._loop.time)
+
+        async def prove(link: Link) -> bool:
+            return await prove_link(link, self._loop.time)
 
-async def _exchange(link: Link, message: UpstreamQuery) -> QueryResult:
-    body = encode_json(message)
-    response = await link.post(PATH_QUERY, body, message['request_id'])
-    if response.headers.get(HEADER_REQUEST_ID) != message['request_id']:
-        link.close()
-        return Failure(FailureReason.crossed)
-    if response.status_code != STATUS_OK:
-        return Failure(_refusal(response))
-    return _decode(await response.content(), message)
+        def limit() -> int:
+            part = connection_part(self._name, self._view.names, replica)
+            return part if self._view.is_known else min(1, part)
 
+        return LinkPool(open_one, prove, limit)
 
-def _refusal(response: HttpResponse) -> FailureReason:
-    reason = response.headers.get(HEADER_REFUSED, '')
-    if reason in FailureReason.__members__.values():
-        return FailureReason(reason)
-    return FailureReason.broken
+    def _start(self, job: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
 
-def _decode(body: bytes, message: UpstreamQuery) -> QueryResult:
+async def _within(
+    seconds: float,
+    waiting: Coroutine[None, None, LinkResult],
+) -> LinkResult:
     try:
-        answer = decode_json(UpstreamAnswer, body)
-    except DecodeError:
-        return Failure(FailureReason.garbled)
-    if answer['request_id'] != message['request_id']:
-        return Failure(FailureReason.crossed)
-    return Success(answer)
+        async with asyncio.timeout(seconds):
+            return await waiting
+    except TimeoutError:
+        return Failure(FailureReason.no_connection)
--- a/packages/node/src/crocusroad_node/upstreams/_link.py
+++ b/packages/node/src/crocusroad_node/upstreams/_link.py
@@ -1,6 +1,7 @@
 """One connection to one replica."""
 
 from collections.abc import Awaitable
+from typing import Final
 
 from aiosonic import HTTPClient, HttpResponse, TCPConnector
 from aiosonic.connection import Connection
@@ -13,7 +14,11 @@
 HEADER_REFUSED = 'x-not-run'
 MAX_IDLE_MS = 3_600_000
 
-_NEVER = Timeouts(sock_connect=None, sock_read=None, request_timeout=None)
+_NEVER: Final = Timeouts(
+    sock_connect=None,
+    sock_read=None,
+    request_timeout=None,
+)
 
 
 class Link:
@@ -24,8 +29,9 @@
     another request.
     """
 
-    def __init__(self, replica: Replica, agent: str) -> None:
-        self.replica = replica
+    def __init__(self, replica: Replica, agent: str, now: float) -> None:
+        self.opened_at = now
+        self.proved_at = now  # when an answer last came whole
         self._agent = agent
         self._sockets: list[Connection] = []
         self._client = HTTPClient(self._connector())
@@ -36,6 +42,14 @@
         """Tell whether the socket is open."""
         return any(one.is_connected for one in self._sockets)
 
+    def has_unread(self) -> bool:
+        """Tell whether the idle socket holds bytes or was closed.
+
+        Both bar it from use: bytes that no request asked for belong to a
+        doubled or late answer.
+        """
+        return any(_has_unread(one) for one in self._sockets)
+
     async def post(
         self,
         path: str,
@@ -54,7 +68,10 @@
 
     async def get(self, path: str) -> HttpResponse:
         """Read a resource and return the answer with its body read."""
-        return await self._whole(self._client.get(self._base + path))
+        headers = {'user-agent': self._agent}
+        return await self._whole(
+            self._client.get(self._base + path, headers=headers),
+        )
 
     def close(self) -> None:
         """Close the socket at once."""
@@ -88,3 +105,16 @@
         socket = Connection(pool)
         self._sockets.append(socket)
         return socket
+
+
+def _has_unread(socket: Connection) -> bool:
+    if socket.reader is None:
+        return False
+    # One step of a read ends at once if there are bytes or the end.
+    step = socket.reader.read(1)
+    try:
+        step.send(None)
+    except (StopIteration, OSError):
+        return True
+    step.close()
+    return False
--- /dev/null
+++ b/packages/node/src/crocusroad_node/upstreams/_policies.py
@@ -0,0 +1,87 @@
+"""The policies by which queries are routed and hedged."""
+
+from collections.abc import Callable
+from itertools import count
+from typing import Final
+
+from crocusroad_core.fronts import Front, Replica
+from crocusroad_core.gather import Policy
+from crocusroad_core.routing import Budget, Router
+from crocusroad_node.counters import EXTRA_REFUSED
+from crocusroad_node.settings import Settings
+
+FIXED_HEDGE_SECONDS: Final = 0.05
+
+Draw = Callable[[], float]
+PickReplica = Callable[[str, tuple[Replica, ...], float], Replica | None]
+HedgeSeconds = Callable[[str, float], float | None]
+
+
+def build_policies(
+    cfg: Settings,
+    router: Router,
+    budget: Budget,
+    draw: Draw,
+) -> Callable[[Front], Policy]:
+    """Return the function that gives each front its policy."""
+    pick = _pick(cfg.routing_pick, router, draw)
+    hedge_delay = _hedge_delay(cfg.routing_hedge, router)
+    policies: dict[str, Policy] = {}
+
+    def spend(now: float) -> bool:
+        is_allowed = budget.spend(now)
+        if not is_allowed:
+            EXTRA_REFUSED.inc()
+        return is_allowed
+
+    def policy_for(front: Front) -> Policy:
+        policy = policies.get(front.name)
+        if policy is None:
+            policy = _policy(front.name, pick, hedge_delay, spend)
+            policies[front.name] = policy
+        return policy
+
+    return policy_for
+
+
+def _policy(
+    front: str,
+    pick: PickReplica,
+    hedge_delay: HedgeSeconds,
+    spend: Callable[[float], bool],
+) -> Policy:
+    keys: dict[str, str] = {}
+
+    def key(shard: str) -> str:
+        found = keys.get(shard)
+        if found is None:
+            found = f'{front}/{shard}'
+            keys[shard] = found
+        return found
+
+    return Policy(
+        pick=lambda shard, candidates, now: pick(key(shard), candidates, now),
+        hedge_delay=lambda shard, now: hedge_delay(key(shard), now),
+        spend=spend,
+    )
+
+
+def _pick(name: str, router: Router, draw: Draw) -> PickReplica:
+    if name == 'random':
+        return lambda shard, candidates, now: candidates[
+            int(draw() * len(candidates))
+        ]
+    if name == 'round-robin':
+        turns = count()
+        return lambda shard, candidates, now: candidates[
+            next(turns) % len(candidates)
+        ]
+    return router.pick
+
+
+def _hedge_delay(name: str, router: Router) -> HedgeSeconds:
+    if name == 'off':
+        return lambda shard, now: None
+    if name == 'fixed':
+        return lambda shard, now: FIXED_HEDGE_SECONDS
+    return router.hedge_delay
--- /dev/null
+++ b/packages/node/src/crocusroad_node/upstreams/_routed.py
@@ -0,0 +1,60 @@
+"""The upstreams of a node with their routing, wired."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import NamedTuple
+
+from crocusroad_core.configs import FrontBook
+from crocusroad_core.fronts import Front
+from crocusroad_core.gather import Policy
+from crocusroad_core.links import InstanceView
+from crocusroad_core.routing import Budget, Router
+from crocusroad_node.platform import Instances
+from crocusroad_node.settings import Settings
+from crocusroad_node.upstreams._client import UpstreamClient
+from crocusroad_node.upstreams._instance_list import OnLive, follow_instances
+from crocusroad_node.upstreams._observed import ObservedUpstreams
+from crocusroad_node.upstreams._policies import build_policies
+from crocusroad_node.upstreams._poller import poll_health
+from crocusroad_node.upstreams._port import Upstreams
+
+Watch = Callable[[], Coroutine[None, None, None]]
+
+
+class RoutedUpstreams(NamedTuple):
+    """The upstreams, the policy of each front, and their upkeep."""
+
+    upstreams: Upstreams
+    policy_for: Callable[[Front], Policy]
+    watch: Watch
+
+
+def route_upstreams(
+    cfg: Settings,
+    book: FrontBook,
+    listing: Instances,
+    on_live: OnLive,
+) -> RoutedUpstreams:
+    """Wire the upstreams with router, budget and pollers.
+
+    `watch` runs the pollers, for ever.
+    """
+    draw = Random().random  # noqa: S311
+    clock = asyncio.get_running_loop().time
+    router = Router(cfg.instance_zone, draw)
+    budget = Budget(cfg.limits_extra_load)
+    view = InstanceView(cfg.instance_name)
+    client = UpstreamClient(cfg.instance_name, cfg.instance_zone, view)
+    upstreams = ObservedUpstreams(client, router, budget, clock)
+
+    async def watch() -> None:
+        await asyncio.gather(
+            poll_health(book, upstreams, router),
+            follow_instances(
+                listing, view, [router.on_instances, on_live], router.on_leaving
+            ),
+        )
+
+    policy_for = build_policies(cfg, router, budget, draw)
+    return RoutedUpstreams(upstreams, policy_for, watch)
