Run actions at most once, by claims that outlive their keys

Cause: there was no way to send an action; a lease or a claim that is taken over lets a paused holder double one.

Ruled out: leases, take-over after a time, sending before the claim is known, no read-back, claims that end before their key, keys without an end, retry or denial after silence.

Change: core/claims (key, claim, action, recording, lease) as state machines, node/claims drives them over the KV, POST /fronts/FRONT/action with Idempotency-Key; admission of searches and actions stands once.

--- a/packages/node/src/crocusroad_node/callers/_app.py
+++ b/packages/node/src/crocusroad_node/callers/_app.py
@@ -14,9 +14,15 @@
 from crocusroad_node.callers._hangup import run_unless_hung_up
 from crocusroad_node.counters import IN_FLIGHT, REQUESTS, SECONDS
 from crocusroad_node.life import NodeLife
-from crocusroad_node.serving import SearchCall, SearchService
+from crocusroad_node.serving import (
+    ActionCall,
+    ActionService,
+    SearchCall,
+    SearchService,
+)
 from crocusroad_node.web import bearer_digest, problem_response
 from crocusroad_wire import (
+    ActionRequest,
     Answer,
     DecodeError,
     ProblemKind,
@@ -27,15 +33,23 @@
 
 STATUS_HUNG_UP = 499
 STATUS_UNREADY = 503
+HEADER_KEY = 'idempotency-key'
 JSON = 'application/json'
 
 
-def build_caller_app(service: SearchService, life: NodeLife) -> Starlette:
+def build_caller_app(
+    service: SearchService,
+    actions: ActionService,
+    life: NodeLife,
+) -> Starlette:
     """Return the application that callers and the balancer speak to."""
 
     async def search(req: Request) -> Response:
         return await _search(service, req)
 
+    async def action(req: Request) -> Response:
+        return await _act(actions, req)
+
     async def healthz(req: Request) -> Response:
         return PlainTextResponse('ok\n')
 
@@ -49,6 +63,7 @@
     return Starlette(
         routes=[
             Route('/fronts/{front}/search', search, methods=['POST']),
+            Route('/fronts/{front}/action', action, methods=['POST']),
             Route('/healthz', healthz),
             Route('/readyz', readyz),
             Route('/metrics', metrics),
@@ -76,8 +91,29 @@
     return _respond(call, outcome)
 
 
+async def _act(service: ActionService, req: Request) -> Response:
+    request_id = uuid.uuid4().hex
+    try:
+        body = decode_json(ActionRequest, await req.body())
+    except DecodeError as exc:
+        refusal = refuse(ProblemKind.malformed, str(exc))
+        return problem_response(refusal, request_id)
+    call = ActionCall(
+        request_id,
+        req.path_params['front'],
+        bearer_digest(req),
+        req.headers.get(HEADER_KEY, ''),
+        body,
+    )
+    started = time.perf_counter()
+    with IN_FLIGHT.track_inprogress():
+        outcome = await run_unless_hung_up(req, service.act(call))
+    SECONDS.labels(body['kind']).observe(time.perf_counter() - started)
+    return _respond(call, outcome)
+
+
 def _respond(
-    call: SearchCall,
+    call: SearchCall | ActionCall,
     outcome: Result[Answer, Refusal] | None,
 ) -> Response:
     label = REQUESTS.labels
--- /dev/null
+++ b/packages/node/src/crocusroad_node/claims/_keeper.py
@@ -0,0 +1,111 @@
+"""The driver of claims and of their records."""
+
+import asyncio
+import time
+from collections.abc import Awaitable
+
+from returns.result import Success
+
+from crocusroad_core.claims import (
+    LEASE_TTL,
+    Claim,
+    ClaimCommand,
+    ClaimDone,
+    ClaimRecord,
+    Lease,
+    ReadClaim,
+    Recording,
+    RenewLease,
+    SwapClaim,
+)
+from crocusroad_core.kv import CallFault, StoreEvent
+from crocusroad_node.counters import CLAIMS, RECORDS
+from crocusroad_node.platform import KeyValue, read_event, swap_event
+
+RECORD_SECONDS = 60.0  # until a record that the KV does not take is given up
+RECORD_RETRY_SECONDS = 0.5
+
+
+def claim_key(front: str, caller: str, key: str) -> str:
+    """Return the key of the KV that holds a claim."""
+    return f'claims/{front}/{caller}/{key}'
+
+
+class ClaimKeeper:
+    """Claims actions for this node and records how they ended."""
+
+    def __init__(self, kv: KeyValue) -> None:
+        self._kv = kv
+        self._lease = Lease()
+        self._granting = asyncio.Lock()
+
+    async def claim(
+        self,
+        key: str,
+        record: ClaimRecord,
+        deadline: float,
+    ) -> ClaimDone:
+        """Try to claim an action until the deadline, on the loop's clock."""
+        clock = asyncio.get_running_loop().time
+        attempt = Claim(record, deadline)
+        command = attempt.begin()
+        while not isinstance(command, ClaimDone):
+            event = await _by(deadline, self._call(key, command))
+            command = attempt.on_event(event, clock(), time.time())
+        CLAIMS.labels(command.outcome.value).inc()
+        return command
+
+    async def record(self, key: str, text: str, revision: int) -> None:
+        """Write how an action ended over its claim."""
+        clock = asyncio.get_running_loop().time
+        recording = Recording(text, revision, clock() + RECORD_SECONDS)
+        command: SwapClaim | None = recording.begin()
+        while command is not None:
+            event = await self._swap(key, command)
+            command = recording.on_event(event, clock())
+            if command is not None:
+                await asyncio.sleep(RECORD_RETRY_SECONDS)
+        RECORDS.labels(_label(event)).inc()
+
+    async def _call(self, key: str, command: ClaimCommand) -> StoreEvent:
+        if isinstance(command, RenewLease):
+            return await self._swap(key, command.swap)
+        if isinstance(command, SwapClaim):
+            return await self._swap(key, command)
+        if isinstance(command, ReadClaim) and command.delay:
+            await asyncio.sleep(command.delay)
+        return await read_event(self._kv, key)
+
+    async def _swap(self, key: str, swap: SwapClaim) -> StoreEvent:
+        lease = await self._current_lease()
+        if not lease:
+            return CallFault.refused
+        value, expected = swap
+        event = await swap_event(self._kv, key, value, expected, lease)
+        if event is CallFault.lease_gone:
+            self._lease.lost(lease)
+        return event
+
+    async def _current_lease(self) -> str:
+        clock = asyncio.get_running_loop().time
+        async with self._granting:
+            lease = self._lease.current(clock())
+            if lease:
+                return lease
+            asked_at = clock()
+            granted = await self._kv.grant(LEASE_TTL)
+            if isinstance(granted, Success):
+                self._lease.granted(granted.unwrap(), asked_at)
+            return self._lease.current(clock())
+
+
+async def _by(deadline: float, call: Awaitable[StoreEvent]) -> StoreEvent:
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await call
+    except TimeoutError:
+        return CallFault.lost
+
+
+def _label(event: StoreEvent) -> str:
+    return event.value if isinstance(event, CallFault) else 'recorded'
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -95,17 +95,34 @@
     'Changes of fronts that reached this node, by what became of them.',
     ['adoption'],
 )
+CLAIMS = Counter(
+    'crocusroad_claims',
+    'Attempts to claim an action, by how they ended.',
+    ['outcome'],
+)
+RECORDS = Counter(
+    'crocusroad_claim_records',
+    'Outcomes written over claims, by how the write ended.',
+    ['outcome'],
+)
+ACTIONS = Counter(
+    'crocusroad_actions',
+    'Claimed actions, by how they ended.',
+    ['outcome'],
+)
 STORE_WENT_BACK = Counter(
     'crocusroad_kv_went_back',
     'Answers of the KV older than one seen before; nothing was taken.',
 )
 
 __all__ = [
+    'ACTIONS',
     'ADOPTIONS',
     'ADMITTED',
     'ATTEMPTS',
     'ATTEMPT_FAULTS',
     'EXTRA_REFUSED',
+    'CLAIMS',
     'IN_FLIGHT',
     'LATE',
     'LIMIT',
@@ -114,6 +131,7 @@
     'MISSING',
     'OUTCOMES',
     'POISON',
+    'RECORDS',
     'REFUSALS',
     'REGISTRY',
     'REQUESTS',
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -6,6 +6,7 @@
 
 from crocusroad_core.admission import ConcurrencyLimit, Door, LiveCount
 from crocusroad_core.configs import Feed, FrontBook
+from crocusroad_node.actions_root import build_actions
 from crocusroad_node.callers import build_caller_app
 from crocusroad_node.configs import FrontStore, watch_fronts
 from crocusroad_node.life import (
@@ -46,7 +47,14 @@
         routed.policy_for,
         door=door,
     )
-    callers = build_caller_app(service, life)
+    actions = build_actions(
+        cfg.instance_name,
+        book,
+        routed,
+        kv,
+        door,
+    )
+    callers = build_caller_app(service, actions, life)
     peers = build_peers(cfg, book, Random())  # noqa: S311
     desk = OperatorDesk(
         store=FrontStore(kv),
@@ -74,6 +82,7 @@
             group.create_task(serve_app(gate.guard(app), listen, stop))
         await drain_node(life, gates, leaver(peers), _drain_bounds(cfg))
         stop.set()
+    await actions.close()
     for task in background:
         task.cancel()
     if peers is not None:
--- a/packages/node/src/crocusroad_node/serving/__init__.py
+++ b/packages/node/src/crocusroad_node/serving/__init__.py
@@ -1,5 +1,7 @@
 """Serving of callers' requests, from admission to the merged answer."""
 
+from crocusroad_node.serving._action import ActionService
+from crocusroad_node.serving._action_plan import ActionCall
 from crocusroad_node.serving._admission import watch_lag
 from crocusroad_node.serving._call import SearchCall
 from crocusroad_node.serving._crash_guard import NO_GUARD, CrashGuard
@@ -8,6 +10,8 @@
 
 __all__ = [
     'NO_GUARD',
+    'ActionCall',
+    'ActionService',
     'CrashGuard',
     'SearchCall',
     'SearchService',
--- a/packages/wire/src/crocusroad_wire/_upstream.py
+++ b/packages/wire/src/crocusroad_wire/_upstream.py
@@ -16,6 +16,7 @@
     limit: int
     deadline_ms: int  # time left, from receipt
     expires_at: float  # seconds since the epoch; not to be run after it
+    idempotency_key: NotRequired[str]  # of an action
 
 
 class UpstreamAnswer(TypedDict):
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -9,6 +9,7 @@
 import json
 import random
 import sys
+import time
 from pathlib import Path
 
 from tests.standins.http import read_request, render
@@ -100,6 +101,8 @@
             return 503, {'x-not-run': reason}, {}
         if self.held >= self.cfg['slots'] + self.cfg['queue']:
             return 503, {'x-not-run': 'shed'}, {}
+        if body['expires_at'] < time.time():
+            return 409, {'x-not-run': 'rejected'}, {}
         if body['version'] not in self.cfg['versions']:
             return 409, {'x-not-run': 'wrong-version'}, {}
         self.held += 1
@@ -124,8 +127,8 @@
         async with self.slots:
             await asyncio.sleep(self.service_seconds())
             self.ran += 1
-            if 'action' in body['query']:
-                key = body['query']['action']
+            if 'idempotency_key' in body:
+                key = body['idempotency_key']
                 self.actions[key] = self.actions.get(key, 0) + 1
         return {
             'request_id': body['request_id'],
