Prove state and actions with real processes

Cause: the machines run the real decisions, but not the drivers, the KV adapter and the signals.

The platform stand-in can cut the KV and leave the instance list up.

Ruled out: that the cells can't fail.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,7 +1,8 @@
 """The platform as a process: KV and instance list over HTTP.
 
 Run: python -m tests.standins.platform HOST:PORT
-Faults by POST /fault {"mode": "up" | "down" | "slow" | "lose-replies"}.
+Faults by POST /fault {"mode": "up" | "down" | "kv-down" | "slow" |
+"lose-replies"}; "kv-down" leaves the instance list up.
 """
 
 import asyncio
@@ -25,7 +26,7 @@
     async def serve(self, reader, writer):
         while (req := await read_request(reader)) is not None:
             admin = req.path in ('/fault', '/stats')
-            if self.mode == 'down' and not admin:
+            if self.is_cut(req.path) and not admin:
                 break
             if self.mode == 'slow' and not admin:
                 await asyncio.sleep(SLOW_SECONDS)
@@ -41,6 +42,11 @@
                 break
         writer.close()
 
+    def is_cut(self, path):
+        if self.mode == 'kv-down':
+            return path != '/instances'
+        return self.mode == 'down'
+
     async def answer(self, req):
         now = time.monotonic()
         body = json.loads(req.body) if req.body else {}
