Prove the graceful stop and the peers with real processes

Cause: the drain and the channel between nodes stood without proof under signals. Ruled out: proof by the gate alone, since the server library closes idle connections behind it. Change: life.feature with SIGTERM under load, a second signal, the bound, SIGSTOP and SIGCONT, SIGKILL, another key, and a start without KV; the lines of the library transitions are kept out of the log.

--- a/packages/node/src/crocusroad_node/logs.py
+++ b/packages/node/src/crocusroad_node/logs.py
@@ -17,6 +17,8 @@
         formatter = _TextFormatter(instance)
     handler.setFormatter(formatter)
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    # The library's own lines repeat each change of state.
+    logging.getLogger('transitions').setLevel(logging.WARNING)
 
 
 def note(logger: logging.Logger, event: str, **fields: object) -> None:
--- /dev/null
+++ b/tests/features/steps/life.py
@@ -0,0 +1,296 @@
+import asyncio
+import json
+import os
+import signal
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from crocusroad_node.life import NodeLife, RequestGate
+from tests.support.cluster import (
+    CALLER_TOKEN,
+    Cluster,
+    call,
+    digest,
+    wait_until,
+)
+from tests.support.keep_alive import Balancer, Caller
+
+PORT = int(os.environ.get('CROCUSROAD_BASE_PORT', '21000')) + 400
+SUSPICION = 25  # s until a silent node of three is held dead
+START = 15
+
+
+@then('a node that drains is not ready and only goes on to stopped')
+def step_states(context):
+    async def check():
+        life = NodeLife()
+        assert not life.is_ready
+        life.serve()
+        assert life.is_ready
+        life.drain()
+        life.serve()
+        assert (life.state, life.is_ready) == ('draining', False)
+        assert not life.hurried.is_set()
+        life.drain()
+        assert life.hurried.is_set()
+        life.finish()
+        assert life.state == 'stopped'
+
+    asyncio.run(check())
+
+
+@given('a gate whose request is {step}')
+def step_gate(context, step):
+    context.step = step
+
+
+@when('the gate is shut')
+def step_shut(context):
+    context.sent = asyncio.run(gated(context.step))
+
+
+async def gated(step):
+    sent = []
+
+    async def app(scope, receive, send):
+        if step == 'in a stream':
+            await send(
+                {'type': 'http.response.start', 'status': 200, 'headers': []}
+            )
+        await asyncio.sleep(60)
+
+    async def send(message):
+        sent.append(message)
+
+    async def receive():
+        await asyncio.sleep(60)
+
+    life = NodeLife()
+    gate = RequestGate(life)
+    life.serve()
+    life.drain()
+    guarded = gate.guard(app)
+    if step == 'before its start':
+        gate.shut()
+        await guarded({'type': 'http'}, receive, send)
+        return sent
+    task = asyncio.create_task(guarded({'type': 'http'}, receive, send))
+    await asyncio.sleep(0)
+    assert not gate.idle.is_set()
+    gate.shut()
+    await task
+    assert gate.idle.is_set()
+    return sent
+
+
+@then('the gated caller got "{answer}" that ran "{ran}"')
+def step_gated(context, answer, ran):
+    first, last = context.sent[0], context.sent[-1]
+    assert (b'connection', b'close') in first['headers']
+    assert last['type'] == 'http.response.body'
+    assert not last.get('more_body')
+    if answer != 'a whole stream':
+        problem = json.loads(last['body'])
+        assert (problem['kind'], problem['ran']) == (answer, ran)
+
+
+@given('two nodes before an upstream that takes {ms:d} ms')
+def step_nodes(context, ms):
+    folder = tempfile.TemporaryDirectory()
+    cluster = Cluster(folder.name, PORT)
+    context.cluster = cluster
+    context.add_cleanup(folder.cleanup)
+    context.add_cleanup(cluster.close)
+    cluster.start_platform()
+    address = cluster.start_upstream(
+        'up', 90, shard='s', shards=['s'], service_ms=ms, slots=24
+    )
+    context.nodes = {
+        name: cluster.start_node(name, port, 'a', limits={'drain_seconds': 2})
+        for name, port in (('node-a', 10), ('node-b', 20))
+    }
+    for caller, _ in context.nodes.values():
+        wait_until(
+            lambda c=caller: call(f'{c}/readyz')[0] == 200, START, caller
+        )
+    file = Path(folder.name) / 'front.json'
+    file.write_text(json.dumps(front(address)))
+    applied = cluster.ctl(
+        context.nodes['node-a'][1], 'apply', 'desk', str(file)
+    )
+    assert applied.returncode == 0, applied.stderr
+    for caller, _ in context.nodes.values():
+        wait_until(lambda c=caller: has_front(c), START, 'front in force')
+
+
+def front(address):
+    replica = {
+        'name': 'r',
+        'address': address,
+        'zone': 'a',
+        'slots': 24,
+        'connections': 60,
+    }
+    kind = {'name': 'lookup', 'worth': 5, 'deadline_ms': 20000}
+    return {
+        'shard_maps': [
+            {'version': 1, 'shards': [{'name': 's', 'replicas': [replica]}]}
+        ],
+        'callers': [{'name': 'desk', 'token_sha256': digest(CALLER_TOKEN)}],
+        'kinds': [kind],
+    }
+
+
+def has_front(caller):
+    return 'revision{front="desk"}' in call(f'{caller}/metrics')[1]
+
+
+def addresses(context):
+    return [url.removeprefix('http://') for url, _ in context.nodes.values()]
+
+
+@when(
+    'one node gets SIGTERM while {count:d} callers keep connections,'
+    ' lag {lag:g} s'
+)
+def step_term(context, count, lag):
+    context.outcomes = outcomes = []
+
+    async def keep_calling(balancer, until):
+        caller = Caller(outcomes)
+        while asyncio.get_running_loop().time() < until:
+            await caller.search(balancer.pick())
+        caller.close()
+
+    async def load():
+        balancer = Balancer(addresses(context), lag)
+        watch = asyncio.create_task(balancer.watch())
+        until = asyncio.get_running_loop().time() + 5
+        tasks = [
+            asyncio.create_task(keep_calling(balancer, until))
+            for _ in range(count)
+        ]
+        await asyncio.sleep(1.5)
+        context.cluster.signal('node-a', signal.SIGTERM)
+        await asyncio.gather(*tasks)
+        watch.cancel()
+
+    asyncio.run(load())
+
+
+@then('no caller was cut and the node ended by itself with code 0')
+def step_uncut(context):
+    kinds = {status for status, _ in context.outcomes}
+    assert kinds == {200}, kinds
+    assert len(context.outcomes) > 100, len(context.outcomes)
+    assert context.cluster.procs['node-a'].wait(timeout=10) == 0
+
+
+@when('one node gets SIGTERM twice while {count:d} callers wait')
+def step_twice(context, count):
+    wait_and_stop(context, count, [0.3, 0.3])
+
+
+@when(
+    'one node gets SIGTERM while {count:d} callers wait past its bound'
+    ' of {bound:d} s'
+)
+def step_bound(context, count, bound):
+    wait_and_stop(context, count, [0.3])
+
+
+def wait_and_stop(context, count, pauses):
+    context.outcomes = outcomes = []
+    address = addresses(context)[0]
+
+    async def load():
+        tasks = [
+            asyncio.create_task(Caller(outcomes).search(address))
+            for _ in range(count)
+        ]
+        for pause in pauses:
+            await asyncio.sleep(pause)
+            context.cluster.signal('node-a', signal.SIGTERM)
+        await asyncio.gather(*tasks)
+
+    asyncio.run(load())
+    assert len(outcomes) == count
+
+
+@then('each waiting caller got an answer that names the outcome unknown')
+def step_unknown(context):
+    for status, body in context.outcomes:
+        assert status == 504, (status, body)
+        assert (body['kind'], body['ran']) == ('outcome-unknown', 'unknown')
+    assert context.cluster.procs['node-a'].wait(timeout=10) == 0
+
+
+def state_of(context, viewer, name):
+    status, body = call(
+        f'{context.nodes[viewer][1]}/v1/status', token='operator-token'
+    )
+    assert status == 200, (status, body)
+    states = {one['name']: one['state'] for one in body['peers']}
+    return states.get(name)
+
+
+def wait_state(context, name, state, seconds):
+    wait_until(
+        lambda: state_of(context, 'node-a', name) == state,
+        seconds,
+        f'{name} held {state}',
+    )
+
+
+@then('a frozen node is held dead, and alive again after it goes on')
+def step_frozen(context):
+    wait_state(context, 'node-b', 'alive', START)
+    context.cluster.signal('node-b', signal.SIGSTOP)
+    wait_state(context, 'node-b', 'dead', SUSPICION)
+    context.cluster.signal('node-b', signal.SIGCONT)
+    wait_state(context, 'node-b', 'alive', SUSPICION)
+
+
+@then('a node with another key is never held alive')
+def step_foreign(context):
+    cluster = context.cluster
+    context.nodes['node-c'] = cluster.start_node(
+        'node-c', 30, 'a', peer_key='a1' * 32
+    )
+    caller = context.nodes['node-c'][0]
+    wait_until(lambda: call(f'{caller}/readyz')[0] == 200, START, caller)
+    wait_state(context, 'node-c', 'dead', SUSPICION)
+    metrics = call(f'{context.nodes["node-a"][0]}/metrics')[1]
+    assert 'frames_dropped_total{reason="unauthenticated"}' in metrics
+    cluster.signal('node-c', signal.SIGKILL)
+
+
+@then('a node that starts while the KV is down is ready from its peer')
+def step_start(context):
+    cluster = context.cluster
+    url = f'http://{cluster.platform}/fault'
+    context.nodes['node-d'] = cluster.start_node('node-d', 40, 'a')
+    cluster.procs['node-d'].kill()
+    cluster.procs['node-d'].wait()
+    wait_until(
+        lambda: state_of(context, 'node-a', 'node-d') is not None,
+        START,
+        'node-d is listed',
+    )
+    call(url, {'mode': 'down'})
+    file = cluster.folder / 'node-d.ini'
+    binary = str(Path(os.sys.executable).parent / 'crocusroad')
+    # The node can't read the list; its peers find it by the list they have.
+    cluster.spawn('node-d', [binary, 'run', str(file)])
+    caller = context.nodes['node-d'][0]
+    wait_until(lambda: call(f'{caller}/readyz')[0] == 200, 25, 'ready')
+    assert has_front(caller)
+    call(url, {'mode': 'up'})
+
+
+@then('a killed node is held dead')
+def step_killed(context):
+    context.cluster.signal('node-b', signal.SIGKILL)
+    wait_state(context, 'node-b', 'dead', SUSPICION)
--- /dev/null
+++ b/tests/support/keep_alive.py
@@ -0,0 +1,98 @@
+"""Callers that keep connections, and tell a cut from a refusal."""
+
+import asyncio
+import json
+
+from tests.support.cluster import CALLER_TOKEN
+
+SECONDS = 20
+
+
+class Caller:
+    """One connection that is kept while the server allows it."""
+
+    def __init__(self, outcomes):
+        self.outcomes = outcomes
+        self.address = None
+        self.reader = self.writer = None
+
+    async def search(self, address):
+        """Send a search; count its status, 'cut' or 'not connected'."""
+        self.outcomes.append(await self.outcome(address))
+        return self.outcomes[-1]
+
+    async def outcome(self, address):
+        try:
+            await self.connect(address)
+        except ConnectionError:
+            return 'not connected', None
+        try:
+            async with asyncio.timeout(SECONDS):
+                return await self.exchange()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.close()
+            return 'cut', None
+
+    async def connect(self, address):
+        if self.writer is not None and self.address == address:
+            return
+        self.close()
+        host, _, port = address.rpartition(':')
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+        self.address = address
+
+    async def exchange(self):
+        body = json.dumps({'kind': 'lookup', 'query': {'text': 'a'}})
+        self.writer.write(
+            f'POST /fronts/desk/search HTTP/1.1\r\nhost: x\r\n'
+            f'authorization: Bearer {CALLER_TOKEN}\r\n'
+            f'content-length: {len(body)}\r\n\r\n{body}'.encode()
+        )
+        raw = await self.reader.readuntil(b'\r\n\r\n')
+        status, *lines = raw.decode().split('\r\n')
+        headers = dict(
+            line.lower().split(': ', 1) for line in lines if ': ' in line
+        )
+        text = await self.reader.readexactly(int(headers['content-length']))
+        if headers.get('connection') == 'close':
+            self.close()
+        return int(status.split()[1]), json.loads(text)
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
+class Balancer:
+    """Sends to the ready nodes, as it knew them `lag` seconds ago."""
+
+    def __init__(self, addresses, lag):
+        self.addresses = addresses
+        self.lag = lag
+        self.ready = list(addresses)
+        self.turn = 0
+
+    def pick(self):
+        self.turn += 1
+        return self.ready[self.turn % len(self.ready)]
+
+    async def watch(self):
+        while True:
+            ready = [one for one in self.addresses if await is_ready(one)]
+            await asyncio.sleep(self.lag)
+            self.ready = ready
+
+
+async def is_ready(address):
+    host, _, port = address.rpartition(':')
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+    except ConnectionError:
+        return False
+    writer.write(
+        b'GET /readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
+    )
+    line = await reader.readline()
+    writer.close()
+    return b' 200 ' in line
