Wire the crash guard and live instances into the node

Cause: the guard and the callers' rates had no channel between nodes, so a poison request was known only where it came first and each instance gave a caller its full rate.

Ruled out: waiting for reports without a bound (0.1 s is the longest that a cut network delays an answer).

--- /dev/null
+++ b/packages/node/src/crocusroad_node/guards_root.py
@@ -0,0 +1,46 @@
+"""The part of the composition root that guards instance and upstreams."""
+
+import asyncio
+
+from crocusroad_core.admission import LiveCount
+from crocusroad_core.poison import PoisonBook
+from crocusroad_node.counters import POISON
+from crocusroad_node.peers import PeerService
+from crocusroad_node.serving import CrashGuard, build_crash_guard
+from crocusroad_wire import CrashReport, DecodeError, decode_peer, encode_peer
+
+TOPIC_CRASHES = 'crashes'
+LIVE_SECONDS = 1.0  # between two looks at the members
+
+
+def build_guard(peers: PeerService | None) -> CrashGuard:
+    """Return the crash guard, its reports passing between peers."""
+    book = PoisonBook()
+
+    async def publish(report: CrashReport) -> None:
+        if peers is not None:
+            raw = encode_peer(report)
+            count = await peers.reports.publish(TOPIC_CRASHES, raw)
+            POISON.labels('report-acknowledged').inc(count)
+
+    def receive(raw: bytes, now: float) -> None:
+        try:
+            report = decode_peer(CrashReport, raw)
+        except DecodeError:
+            POISON.labels('report-malformed').inc()
+        else:
+            POISON.labels('report-received').inc()
+            book.on_report(report, now)
+
+    if peers is not None:
+        peers.reports.subscribe(TOPIC_CRASHES, receive)
+    return build_crash_guard(book, publish)
+
+
+async def watch_live(live: LiveCount, peers: PeerService | None) -> None:
+    """Count the live instances for the callers' rates, for ever."""
+    clock = asyncio.get_running_loop().time
+    while peers is not None:
+        present = [one for one in peers.members() if one.is_present]
+        live.see(len(present) + 1, clock())
+        await asyncio.sleep(LIVE_SECONDS)
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -9,6 +9,7 @@
 from crocusroad_node.actions_root import build_actions
 from crocusroad_node.callers import build_caller_app
 from crocusroad_node.configs import FrontStore, watch_fronts
+from crocusroad_node.guards_root import build_guard, watch_live
 from crocusroad_node.life import (
     DrainBounds,
     NodeLife,
@@ -37,6 +38,7 @@
     stop = asyncio.Event()
     kv = HttpKeyValue(cfg.platform_kv)
     book = FrontBook()
+    peers = build_peers(cfg, book, Random())  # noqa: S311
     live = LiveCount()
     door = Door(ConcurrencyLimit(), live)
     listing = HttpInstances(cfg.platform_instances)
@@ -45,6 +47,7 @@
         book,
         routed.upstreams,
         routed.policy_for,
+        guard=build_guard(peers),
         door=door,
     )
     actions = build_actions(
@@ -55,7 +58,6 @@
         door,
     )
     callers = build_caller_app(service, actions, life)
-    peers = build_peers(cfg, book, Random())  # noqa: S311
     desk = OperatorDesk(
         store=FrontStore(kv),
         book=book,
@@ -70,6 +72,7 @@
         asyncio.create_task(watch_fronts(kv, Feed(book), around)),
         asyncio.create_task(watch_lag(door)),
         asyncio.create_task(routed.watch()),
+        asyncio.create_task(watch_live(live, peers)),
     ]
     if peers is not None:
         serving = peers.run(cfg.peers_listen, listing)
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import random
 import sys
 import time
@@ -110,6 +111,8 @@
             return 409, {'x-not-run': 'wrong-version'}, {}
         self.held += 1
         self.begun += 1
+        if 'crash' in body['query']:
+            os._exit(1)
         task = asyncio.ensure_future(self.run(req, body))
         self.tasks[body['request_id']] = task
         try:
