Work parts of connections out once for each list, count late answers alone

Cause: the part of a replica's connections was worked out at every acquire, which grows with the number of instances; answers to cancels were counted as late answers; the health poller queued behind queries for a busy link. Ruled out: a longer interval of polls, which would slow the proof of idle links. Change: the part is kept until the list of instances changes, only whole answers count as late, and a replica whose links are all busy is not polled, since its answers tell more.

--- a/packages/core/src/crocusroad_core/links/_instance_view.py
+++ b/packages/core/src/crocusroad_core/links/_instance_view.py
@@ -1,6 +1,6 @@
 """The instances that may hold connections."""
 
-from collections.abc import Iterable, Set
+from collections.abc import Iterable
 from typing import Final
 
 HOLD_SECONDS: Final = 60.0
@@ -14,18 +14,17 @@
     """
 
     def __init__(self, own: str) -> None:
+        self.names = frozenset((own,))  # this instance included
+        self.changes = 0  # of the names; 0: the list was not read yet
         self._own = own
-        self.is_known = False  # True once the list was read
         self._seen: dict[str, float] = {}
 
-    @property
-    def names(self) -> Set[str]:
-        """Return the names counted, this instance included."""
-        return self._seen.keys() | {self._own}
-
     def on_list(self, names: Iterable[str], now: float) -> None:
         """Take the platform's list of instances."""
         oldest = now - HOLD_SECONDS
         kept = {name: at for name, at in self._seen.items() if at >= oldest}
         self._seen = kept | dict.fromkeys(names, now)
-        self.is_known = True
+        counted = frozenset((*self._seen, self._own))
+        if counted != self.names or not self.changes:
+            self.names = counted
+            self.changes += 1
--- a/packages/node/src/crocusroad_node/upstreams/_client.py
+++ b/packages/node/src/crocusroad_node/upstreams/_client.py
@@ -1,7 +1,7 @@
 """The upstreams over HTTP."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from returns.result import Failure, Result, Success
 
@@ -64,6 +64,8 @@
         """Return what the replica reports of itself."""
         pool = self._pool(replica)
         link = pool.take_oldest()
+        if link is None and not pool.has_room:
+            return Failure(FailureReason.no_connection)
         if link is None:
             taken = await _within(timeout, pool.acquire())
             if not isinstance(taken, Success):
@@ -132,7 +134,7 @@
             return
         await asyncio.wait((exchange,), timeout=LATE_SECONDS)
         if exchange.done():
-            LATE.inc()
+            LATE.inc(isinstance(exchange.result(), Success))
             return
         exchange.cancel()
         if is_heard:
@@ -163,10 +165,7 @@
         async def prove(link: Link) -> bool:
             return await prove_link(link, self._loop.time)
 
-        def limit() -> int:
-            part = connection_part(self._name, self._view.names, replica)
-            return part if self._view.is_known else min(1, part)
-
+        limit = _limit(self._name, self._view, replica)
         return LinkPool(open_one, prove, limit)
 
     def _start(self, job: Coroutine[None, None, None]) -> None:
@@ -175,6 +174,25 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _limit(
+    name: str,
+    view: InstanceView,
+    replica: Replica,
+) -> Callable[[], int]:
+    """Return the part of the connections, worked out anew with the list."""
+    seen = 0
+    part = min(1, connection_part(name, view.names, replica))
+
+    def limit() -> int:
+        nonlocal seen, part
+        if seen != view.changes:
+            seen = view.changes
+            part = connection_part(name, view.names, replica)
+        return part
+
+    return limit
+
+
 async def _within(
     seconds: float,
     waiting: Coroutine[None, None, LinkResult],
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -5,11 +5,13 @@
     Then the routing property "<name>" holds
 
     Examples:
-      | name                  |
-      | budget_holds          |
-      | budget_holds_for_sent |
-      | leaving_gets_no_work  |
-      | parts_fit             |
+      | name                    |
+      | budget_holds            |
+      | budget_holds_for_sent   |
+      | leaving_gets_no_work    |
+      | parts_fit               |
+      | gone_instances_count_on |
+      | silence_needs_two       |
 
   Scenario Outline: A known-bad <variant> is caught by <name>
     Then the routing property "<name>" fails for the variant "<variant>"
--- a/tests/properties/routing.py
+++ b/tests/properties/routing.py
@@ -7,7 +7,11 @@
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather import FailureReason
-from crocusroad_core.links import connection_part
+from crocusroad_core.links import (
+    InstanceView,
+    SilenceWatch,
+    connection_part,
+)
 from crocusroad_core.routing import Budget, HealthReport, Router
 
 REPLICAS = tuple(
@@ -136,3 +140,47 @@
         assert sum(held) <= connections, (held, connections)
 
     check()
+
+
+@given(
+    lists=st.lists(
+        st.tuples(st.sets(st.sampled_from('abcd')), st.floats(0, 40)),
+    ),
+)
+def gone_instances_count_on(lists):
+    """Each instance listed within the last 60 s is counted, and the own."""
+    view = InstanceView('own')
+    now = 100.0
+    seen = {}
+    for names, pause in lists:
+        now += pause
+        before = (view.names, view.changes)
+        view.on_list(names, now)
+        seen |= dict.fromkeys(names, now)
+        recent = {name for name, when in seen.items() if now - when <= 60}
+        assert recent | {'own'} == view.names
+        assert view.changes > before[1] or view.names == before[0]
+
+
+@given(
+    found=st.lists(
+        st.tuples(st.sampled_from(['silent', 'old', 'new']), st.floats(0, 6)),
+    ),
+)
+def silence_needs_two(found):
+    """One silent link, or an answer on an older one, condemns nothing."""
+    watch = SilenceWatch()
+    now = 100.0
+    silent = []
+    for event, pause in found:
+        now += pause
+        if event == 'silent':
+            silent = [when for when in silent if now - when < 10] + [now]
+            condemned = watch.on_silent(now)
+            assert condemned == (len(silent) >= 2)
+            assert not condemned or watch.is_condemned(now - 0.001)
+            assert not watch.is_condemned(now + 0.001)
+            silent = [] if condemned else silent
+        else:
+            watch.on_answer(0.0 if event == 'old' else now)
+            silent = [] if event == 'old' else silent
