Split the gather by job

Cause: the state machine of a query was one module of 342 lines and one class with ten jobs. Ruled out: mixins, which would share all attributes unseen. No behaviour changes: gather.feature and fault_matrix.feature give 71 of 71 before and after, unchanged.

--- /dev/null
+++ b/packages/core/src/crocusroad_core/gather/_hedges.py
@@ -0,0 +1,32 @@
+"""The second attempt of a shard whose first one is slow."""
+
+from crocusroad_core.gather._attempt import AttemptRole
+from crocusroad_core.gather._command import Command
+from crocusroad_core.gather._flight import Flight
+from crocusroad_core.gather._part import Part
+
+
+def hedge(flight: Flight, part: Part, now: float) -> list[Command]:
+    """Ask another replica of a slow shard if the budget allows.
+
+    While a canary is out, another shard is asked first, which is no extra
+    load.
+    """
+    if not flight.canary.allows(len(flight.running)):
+        return []
+    shard = flight.canary.next_shard() if flight.canary.is_out else None
+    if shard is None:
+        return _hedge(flight, part, now)
+    return flight.first((shard,), now)
+
+
+def _hedge(flight: Flight, part: Part, now: float) -> list[Command]:
+    if not part.untried():
+        part.ask_again()
+    replica = flight.choose(part, part.untried(), now)
+    if replica is None:
+        return []
+    if flight.policy.spend(now):
+        return [flight.send(part, replica, now, AttemptRole.hedge)]
+    flight.plan_hedge(part.shard, now)
+    return []
