Let replacements earn nothing and bound them

Cause: attempts sent free of charge passed the budget as first attempts, so a crash wave or shedding earned load; each replica that refused was replaced free of charge, twice if it shed; and a refused hedge asked the budget again at each tick. The rule stood in two places that differed (`is_free_retry`, unused, and the gather).

Change: the gather decides alone what is charged, the budget keeps the account. One replacement a shard and query; after a break it comes from an allowance of 50 attempts and 1 % of the first ones; only first attempts earn, restarts neither. Pauses after refusals and refused hedges double. `is_free_retry` is gone. Ruled out: refused connections replaced without bound, since a wave of them would ask every replica. Price: with the budget spent, a shard whose first two replicas refuse is missing though a third lives.

Test policies got the new function `replace`, which allows all; their checks are the same. Restarts stay outside the bound, once a query. The cost after this change was not measured.

--- a/packages/core/src/crocusroad_core/gather/_attempt.py
+++ b/packages/core/src/crocusroad_core/gather/_attempt.py
@@ -11,8 +11,8 @@
 
     first = 'first'
     hedge = 'hedge'  # the attempt before it may still be running
-    retry = 'retry'  # the attempt before it may have run
-    replacement = 'replacement'  # nothing before it is running or ran whole
+    retry = 'retry'  # charged; none before it is running
+    replacement = 'replacement'  # free of charge, once a shard
     restart = 'restart'  # the query started over on another index version
 
 
--- a/packages/core/src/crocusroad_core/gather/_flight.py
+++ b/packages/core/src/crocusroad_core/gather/_flight.py
@@ -30,6 +30,7 @@
         self.may_have_run = False
         self._open = 0  # parts that are neither answered nor missing
         self._serial = 0
+        self._first_role = AttemptRole.first
 
     @property
     def is_open(self) -> bool:
@@ -44,6 +45,7 @@
     ) -> list[Command]:
         """Begin with the shards of a map, in place of those before."""
         self.shard_map = shard_map
+        self._first_role = role
         self.parts = {
             shard: Part(shard, replicas)
             for shard, replicas in shard_map.shards.items()
@@ -52,14 +54,9 @@
         if self.canary.is_out:
             self.canary.hold(self.parts)
             return []
-        return self.first(self.parts, now, role)
+        return self.first(self.parts, now)
 
-    def first(
-        self,
-        shards: Iterable[str],
-        now: float,
-        role: AttemptRole = AttemptRole.first,
-    ) -> list[Command]:
+    def first(self, shards: Iterable[str], now: float) -> list[Command]:
         """Send the first attempt of each shard."""
         commands: list[Command] = []
         for shard in shards:
@@ -68,7 +65,9 @@
             if replica is None:
                 self.give_up(part, REASON_NO_REPLICA)
             else:
-                commands.append(self.send(part, replica, now, role))
+                if self._first_role is AttemptRole.restart:
+                    self.policy.replace(False, now)  # so that it earns nothing
+                commands.append(self.send(part, replica, now, self._first_role))
         return commands
 
     def choose(
--- a/packages/core/src/crocusroad_core/gather/_hedges.py
+++ b/packages/core/src/crocusroad_core/gather/_hedges.py
@@ -5,6 +5,8 @@
 from crocusroad_core.gather._flight import Flight
 from crocusroad_core.gather._part import Part
 
+HEDGE_PAUSE_SECONDS = 0.1  # after the budget refused; doubled each time
+
 
 def hedge(flight: Flight, part: Part, now: float) -> list[Command]:
     """Ask another replica of a slow shard if the budget allows.
@@ -28,5 +30,7 @@
         return []
     if flight.policy.spend(now):
         return [flight.send(part, replica, now, AttemptRole.hedge)]
-    flight.plan_hedge(part.shard, now)
+    part.pauses += 1
+    pause = HEDGE_PAUSE_SECONDS * 2 ** (part.pauses - 1)
+    flight.alarms.put(part.shard, now + pause)
     return []
--- a/packages/core/src/crocusroad_core/gather/_part.py
+++ b/packages/core/src/crocusroad_core/gather/_part.py
@@ -15,8 +15,10 @@
     __slots__ = (
         'asked_again',
         'breaks',
+        'has_replaced',
         'losses',
         'missing',
+        'pauses',
         'records',
         'replicas',
         'running',
@@ -32,6 +34,8 @@
         self.running: dict[int, Attempt] = {}
         self.losses: list[FailureReason] = []
         self.breaks = 0  # connections that broke after something was sent
+        self.has_replaced = False  # one attempt was sent free of charge
+        self.pauses = 0  # waits for a refusal to pass
         self.asked_again: set[str] = set()
         self.second: list[Replica] = []  # refused for now, to be asked again
         self.records: list[Record] | None = None
--- a/packages/core/src/crocusroad_core/gather/_policy.py
+++ b/packages/core/src/crocusroad_core/gather/_policy.py
@@ -11,6 +11,9 @@
 HedgeDelay = Callable[[str, float], float | None]
 # Takes one unit of extra load from the budget: (now); False if none is left.
 Spend = Callable[[float], bool]
+# Allows an attempt free of charge, which earns nothing either:
+# (whether an attempt before it may have run, now).
+Replace = Callable[[bool, float], bool]
 
 
 class Policy(NamedTuple):
@@ -19,3 +22,4 @@
     pick: Pick
     hedge_delay: HedgeDelay
     spend: Spend
+    replace: Replace
--- a/packages/core/src/crocusroad_core/gather/_retries.py
+++ b/packages/core/src/crocusroad_core/gather/_retries.py
@@ -5,7 +5,7 @@
 from crocusroad_core.gather._flight import Flight
 from crocusroad_core.gather._part import Part
 
-PAUSE_SECONDS = 0.02  # before a replica that refused is asked again
+PAUSE_SECONDS = 0.02  # before a refusal is tried again; doubled each time
 MAX_BREAKS = 2  # upstreams of a shard that may break while they run a query
 
 
@@ -31,14 +31,27 @@
 
 
 def _pause(flight: Flight, part: Part, now: float) -> list[Command]:
-    flight.alarms.put(part.shard, now + PAUSE_SECONDS)
+    part.pauses += 1
+    pause = PAUSE_SECONDS * 2 ** (part.pauses - 1)
+    flight.alarms.put(part.shard, now + pause)
     return []
 
 
 def _role(flight: Flight, part: Part, now: float) -> AttemptRole | None:
     """Return the role of one more attempt; None if the budget forbids."""
-    if not part.may_have_run:
+    policy = flight.policy
+    has_run = part.may_have_run
+    if has_run and policy.spend(now):
+        return AttemptRole.retry
+    if _may_replace(part) and policy.replace(has_run, now):
+        part.has_replaced = True
         return AttemptRole.replacement
-    if flight.policy.spend(now):
+    if not has_run and policy.spend(now):
         return AttemptRole.retry
-    return AttemptRole.replacement if part.has_only_broken else None
+    return None
+
+
+def _may_replace(part: Part) -> bool:
+    if part.has_replaced:
+        return False
+    return part.has_only_broken or not part.may_have_run
--- a/packages/core/src/crocusroad_core/routing/__init__.py
+++ b/packages/core/src/crocusroad_core/routing/__init__.py
@@ -1,6 +1,6 @@
 """Choice of replicas, hedge delays and the budget of extra load."""
 
-from crocusroad_core.routing._budget import Budget, is_free_retry
+from crocusroad_core.routing._budget import Budget
 from crocusroad_core.routing._health import HealthReport
 from crocusroad_core.routing._latency import LatencyTrack
 from crocusroad_core.routing._replica_state import ReplicaState
@@ -12,5 +12,4 @@
     'LatencyTrack',
     'ReplicaState',
     'Router',
-    'is_free_retry',
 ]
--- a/packages/core/src/crocusroad_core/routing/_budget.py
+++ b/packages/core/src/crocusroad_core/routing/_budget.py
@@ -2,36 +2,33 @@
 
 from typing import Final
 
-from crocusroad_core.gather import FailureReason
-
 BURST_ATTEMPTS: Final = 10.0
 
-_FREE_RETRY: Final = frozenset(
-    (
-        FailureReason.connect_refused,
-        FailureReason.connect_timeout,
-        FailureReason.no_connection,
-    ),
-)
+REPLACEMENT_BURST: Final = 50.0  # attempts
+REPLACEMENT_SHARE: Final = 0.01  # of the first attempts
 
 
 class Budget:
     """Extra attempts allowed, as a share of the first attempts.
 
-    Over any stretch of its history the extra attempts are at most `burst`
-    plus `share` times the first attempts of that stretch. Time alone earns
-    nothing, so the bound also holds when few first attempts are sent.
+    Over any stretch of its history the charged attempts are at most `burst`
+    plus `share` times the first attempts of that stretch; replacements of
+    attempts that may have run are held likewise by an allowance of their own.
+    Time alone earns nothing, and only first attempts earn.
     """
 
     def __init__(self, share: float, burst: float = BURST_ATTEMPTS) -> None:
         self._share = share
         self._burst = burst
         self._left = burst
-        self._unsent = 0  # extra attempts taken and not yet sent
+        self._replacements = REPLACEMENT_BURST
+        self._unsent = 0  # attempts that earn nothing, allowed and not sent
 
     def on_first(self, now: float) -> None:
-        """Earn a share of an attempt by a first attempt."""
+        """Earn shares of an attempt by a first attempt."""
         self._left = min(self._burst, self._left + self._share)
+        earned = self._replacements + REPLACEMENT_SHARE
+        self._replacements = min(REPLACEMENT_BURST, earned)
 
     def spend(self, now: float) -> bool:
         """Take one extra attempt; False if none is left."""
@@ -41,18 +38,21 @@
         self._unsent += 1
         return True
 
+    def replace(self, has_run: bool, now: float) -> bool:
+        """Allow an attempt free of charge; False if the allowance is empty.
+
+        Where no attempt before it can have run, the caller answers for the
+        bound: one attempt for one refusal.
+        """
+        if has_run and self._replacements < 1:
+            return False
+        self._replacements -= has_run
+        self._unsent += 1
+        return True
+
     def on_sent(self, now: float) -> None:
-        """Take an attempt that is sent; the extra ones earn nothing."""
+        """Take an attempt that is sent; only the first ones earn."""
         if self._unsent:
             self._unsent -= 1
         else:
             self.on_first(now)
-
-
-def is_free_retry(reason: FailureReason) -> bool:
-    """Tell whether a retry after `reason` adds no load to the upstreams.
-
-    True only where no request reached an upstream. A refusal by an upstream
-    cost it work and is counted against the budget.
-    """
-    return reason in _FREE_RETRY
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -38,7 +38,7 @@
 )
 EXTRA_REFUSED = Counter(
     'crocusroad_extra_refused',
-    'Hedges and retries that the budget of extra load refused.',
+    'Hedges, retries and replacements that the budget refused.',
 )
 LATE = Counter(
     'crocusroad_answers_late',
--- a/packages/node/src/crocusroad_node/upstreams/_policies.py
+++ b/packages/node/src/crocusroad_node/upstreams/_policies.py
@@ -15,6 +15,8 @@
 Draw = Callable[[], float]
 PickReplica = Callable[[str, tuple[Replica, ...], float], Replica | None]
 HedgeSeconds = Callable[[str, float], float | None]
+Spend = Callable[[float], bool]
+Replace = Callable[[bool, float], bool]
 
 
 def build_policies(
@@ -34,10 +36,18 @@
             EXTRA_REFUSED.inc()
         return is_allowed
 
+    def replace(has_run: bool, now: float) -> bool:
+        is_allowed = budget.replace(has_run, now)
+        if not is_allowed:
+            EXTRA_REFUSED.inc()
+        return is_allowed
+
+    limits = (spend, replace)
+
     def policy_for(front: Front) -> Policy:
         policy = policies.get(front.name)
         if policy is None:
-            policy = _policy(front.name, pick, hedge_delay, spend)
+            policy = _policy(front.name, pick, hedge_delay, limits)
             policies[front.name] = policy
         return policy
 
@@ -48,7 +58,7 @@
     front: str,
     pick: PickReplica,
     hedge_delay: HedgeSeconds,
-    spend: Callable[[float], bool],
+    limits: tuple[Spend, Replace],
 ) -> Policy:
     keys: dict[str, str] = {}
 
@@ -62,7 +72,8 @@
     return Policy(
         pick=lambda shard, candidates, now: pick(key(shard), candidates, now),
         hedge_delay=lambda shard, now: hedge_delay(key(shard), now),
-        spend=spend,
+        spend=limits[0],
+        replace=limits[1],
     )
 
 
--- a/tests/features/steps/poison_fleet.py
+++ b/tests/features/steps/poison_fleet.py
@@ -29,6 +29,7 @@
     lambda shard, candidates, now: candidates[0],
     lambda shard, now: None,
     lambda now: True,
+    replace=lambda has_run, now: True,
 )
 
 
--- a/tests/properties/gather.py
+++ b/tests/properties/gather.py
@@ -77,6 +77,7 @@
             ),
             hedge_delay=lambda shard, now: 0.05,
             spend=self.spend,
+            replace=lambda has_run, now: True,
         )
         self.gather = Gather(self.plan, policy)
         self.take(self.gather.begin(self.now))
@@ -247,6 +248,7 @@
         pick=lambda shard, some, now: some[0],
         hedge_delay=lambda shard, now: 0.05,
         spend=lambda now: True,
+        replace=lambda has_run, now: True,
     )
     gather = Gather(plan, policy)
     gather.begin(0.0)
