Learn index versions from the health polls

Cause: the view of index versions learned from answers alone, so a replica that only a new shard map names was found by a query that failed there, and replicas of fronts long gone were kept for ever. Ruled out: learning in the observed upstreams, which know neither the fronts nor the other names of an address.

Change: the poller tells the view the versions of each health reply, for every replica at that address, and makes it forget replicas that no front names when a front changes. The node's searches use the same view. An empty list is passed over: it would refuse every search.

--- a/packages/core/src/crocusroad_core/snapshots/_version_view.py
+++ b/packages/core/src/crocusroad_core/snapshots/_version_view.py
@@ -36,6 +36,11 @@
         self._generation = 0
         self._choices: dict[str, _Choice] = {}
 
+    @property
+    def known(self) -> frozenset[str]:
+        """Return the replicas that it heard of."""
+        return frozenset(self._news)
+
     def learn(self, replica: str, versions: Iterable[int], now: float) -> None:
         """Take the list of all versions that a replica says it serves."""
         served = frozenset(versions)
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -47,6 +47,7 @@
         book,
         routed.upstreams,
         routed.policy_for,
+        versions=routed.versions,
         guard=build_guard(peers),
         door=door,
     )
--- a/packages/node/src/crocusroad_node/upstreams/_poller.py
+++ b/packages/node/src/crocusroad_node/upstreams/_poller.py
@@ -3,9 +3,12 @@
 import asyncio
 from collections.abc import Iterator
 
+from returns.result import Success
+
 from crocusroad_core.configs import FrontBook
 from crocusroad_core.fronts import Front, Replica
 from crocusroad_core.routing import Router
+from crocusroad_core.snapshots import VersionView
 from crocusroad_node.upstreams._port import Upstreams
 
 ROUND_SECONDS = 1.0
@@ -17,6 +20,7 @@
     book: FrontBook,
     upstreams: Upstreams,
     router: Router,
+    versions: VersionView,
 ) -> None:
     """Read the health of every replica each round, for ever.
 
@@ -27,41 +31,70 @@
     waiting: set[asyncio.Task[object]] = set()
     loop = asyncio.get_running_loop()
     while True:
-        _tell_router(book, router, known, loop.time())
+        is_changed = _tell_router(book, router, known, loop.time())
         replicas = _replicas(book)
+        if is_changed:
+            versions.retain(_names(book))
         pause = ROUND_SECONDS / max(1, len(replicas))
         if not replicas:
             await asyncio.sleep(ROUND_SECONDS)
         while replicas:
-            replica = replicas.pop()
             task: asyncio.Task[object] = loop.create_task(
-                upstreams.health(replica, HEALTH_SECONDS),
+                _poll(replicas.pop(), upstreams, versions),
             )
             waiting.add(task)
             task.add_done_callback(waiting.discard)
             await asyncio.sleep(max(pause, 1 / POLLS_PER_SECOND))
 
 
+async def _poll(
+    replicas: list[Replica],
+    upstreams: Upstreams,
+    versions: VersionView,
+) -> None:
+    outcome = await upstreams.health(replicas[-1], HEALTH_SECONDS)
+    if not isinstance(outcome, Success):
+        return
+    served = outcome.unwrap()['versions']
+    if served:  # a list without any is no ground to refuse a search
+        now = asyncio.get_running_loop().time()
+        for replica in replicas:
+            versions.learn(replica.name, served, now)
+
+
 def _tell_router(
     book: FrontBook,
     router: Router,
     known: dict[str, int],
     now: float,
-) -> None:
+) -> bool:
+    """Tell the router of fronts; return whether one has changed."""
+    is_changed = False
     names = known.keys() | book.names
     for name in names:
         revision = book.revision(name)
         if known.get(name) != revision:
+            is_changed = True
             known[name] = revision
             router.on_front(name, _front_replicas(book.find(name)), now)
+    return is_changed
+
+
+def _names(book: FrontBook) -> set[str]:
+    return {
+        replica.name
+        for name in book.names
+        for replica in _front_replicas(book.find(name))
+    }
 
 
-def _replicas(book: FrontBook) -> list[Replica]:
-    by_address: dict[str, Replica] = {}
+def _replicas(book: FrontBook) -> list[list[Replica]]:
+    """Return the replicas by address: one poll serves all of an address."""
+    by_address: dict[str, dict[str, Replica]] = {}
     for name in book.names:
-        replicas = _front_replicas(book.find(name))
-        by_address |= {replica.address: replica for replica in replicas}
-    return list(by_address.values())
+        for replica in _front_replicas(book.find(name)):
+            by_address.setdefault(replica.address, {})[replica.name] = replica
+    return [list(group.values()) for group in by_address.values()]
 
 
 def _front_replicas(front: Front | None) -> Iterator[Replica]:
--- a/packages/node/src/crocusroad_node/upstreams/_routed.py
+++ b/packages/node/src/crocusroad_node/upstreams/_routed.py
@@ -10,6 +10,7 @@
 from crocusroad_core.gather import Policy
 from crocusroad_core.links import InstanceView
 from crocusroad_core.routing import Budget, Router
+from crocusroad_core.snapshots import VersionView
 from crocusroad_node.platform import Instances
 from crocusroad_node.settings import Settings
 from crocusroad_node.upstreams._client import UpstreamClient
@@ -23,11 +24,12 @@
 
 
 class RoutedUpstreams(NamedTuple):
-    """The upstreams, the policy of each front, and their upkeep."""
+    """The upstreams, what is known of them, and their upkeep."""
 
     upstreams: Upstreams
     policy_for: Callable[[Front], Policy]
     watch: Watch
+    versions: VersionView
 
 
 def route_upstreams(
@@ -44,17 +46,18 @@
     clock = asyncio.get_running_loop().time
     router = Router(cfg.instance_zone, draw)
     budget = Budget(cfg.limits_extra_load)
+    versions = VersionView()
     view = InstanceView(cfg.instance_name)
     client = UpstreamClient(cfg.instance_name, cfg.instance_zone, view)
     upstreams = ObservedUpstreams(client, router, budget, clock)
 
     async def watch() -> None:
         await asyncio.gather(
-            poll_health(book, upstreams, router),
+            poll_health(book, upstreams, router, versions),
             follow_instances(
                 listing, view, [router.on_instances, on_live], router.on_leaving
             ),
         )
 
     policy_for = build_policies(cfg, router, budget, draw)
-    return RoutedUpstreams(upstreams, policy_for, watch)
+    return RoutedUpstreams(upstreams, policy_for, watch, versions)
