Pass actions through the crash guard

Cause: an action whose upstream broke was answered outcome-unknown, and its claim stopped that key, but the same body under new keys broke one upstream after another. Change: a new ActionRunner takes the run of a claimed action out of the service and sends it through the guard; the fingerprint leaves the key out, a break is reported to the other instances, and a quarantined action is refused "not run".

Ruled out: refusing before the claim is made, as first planned. A repeat of a key whose first run broke would then hear "not run", which is false, and a read of the KV may lag. So the action is claimed, refused, and recorded "not run", which frees the key. Found on the way: an action is not asked again, so each key met the same first replica and nothing was ever proved. The guard now prefers a replica that has not broken under the request, for searches too.

Two new rows of poison.feature, twelve keys over four instances. Not proved: real processes.

--- a/packages/core/src/crocusroad_core/poison/_book.py
+++ b/packages/core/src/crocusroad_core/poison/_book.py
@@ -55,6 +55,11 @@
         """Tell whether an upstream broke under the fingerprint lately."""
         return self._cases.find(print_, now) is not None
 
+    def broken(self, print_: str, now: float) -> frozenset[str]:
+        """Return the upstreams that broke under the fingerprint lately."""
+        case = self._cases.find(print_, now)
+        return frozenset() if case is None else case.alone | case.fanned
+
     def enter(self, print_: str, upstream: str, now: float) -> Run | None:
         """Begin a run; return None if another suspect runs there.
 
--- a/packages/node/src/crocusroad_node/root.py
+++ b/packages/node/src/crocusroad_node/root.py
@@ -43,12 +43,13 @@
     door = Door(ConcurrencyLimit(), live)
     listing = HttpInstances(cfg.platform_instances)
     routed = route_upstreams(cfg, book, listing, live.see)
+    guard = build_guard(peers)
     service = SearchService(
         book,
         routed.upstreams,
         routed.policy_for,
         versions=routed.versions,
-        guard=build_guard(peers),
+        guard=guard,
         door=door,
     )
     actions = build_actions(
@@ -57,6 +58,7 @@
         routed,
         kv,
         door,
+        guard,
     )
     callers = build_caller_app(service, actions, life)
     desk = OperatorDesk(
--- a/packages/node/src/crocusroad_node/serving/__init__.py
+++ b/packages/node/src/crocusroad_node/serving/__init__.py
@@ -2,6 +2,7 @@
 
 from crocusroad_node.serving._action import ActionService
 from crocusroad_node.serving._action_plan import ActionCall
+from crocusroad_node.serving._action_run import ActionRunner
 from crocusroad_node.serving._admission import watch_lag
 from crocusroad_node.serving._call import SearchCall
 from crocusroad_node.serving._crash_guard import NO_GUARD, CrashGuard
@@ -11,6 +12,7 @@
 __all__ = [
     'NO_GUARD',
     'ActionCall',
+    'ActionRunner',
     'ActionService',
     'CrashGuard',
     'SearchCall',
--- a/packages/node/src/crocusroad_node/serving/_action.py
+++ b/packages/node/src/crocusroad_node/serving/_action.py
@@ -1,39 +1,32 @@
 """Actions: admission, claim, run at one replica, record."""
 
 import asyncio
-import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, Final, TypeVar
 
 from returns.result import Failure, Result, Success
 
 from crocusroad_core.admission import Door
 from crocusroad_core.claims import (
-    Action,
-    ActionCommand,
     ActionDone,
     ActionOutcome,
     ClaimDone,
     ClaimOutcome,
     ClaimState,
-    Pick,
-    RunAction,
     ended_claim,
 )
 from crocusroad_core.configs import FrontBook
-from crocusroad_core.fronts import Front, Replica
 from crocusroad_core.refusals import Refusal, refuse
 from crocusroad_node.claims import ClaimKeeper
 from crocusroad_node.counters import ACTIONS
 from crocusroad_node.serving._action_plan import (
     ActionCall,
     ActionPlan,
-    action_message,
     plan_action,
 )
+from crocusroad_node.serving._action_run import ActionRunner
 from crocusroad_node.serving._admission import run_admitted
 from crocusroad_node.serving._target import find_target
-from crocusroad_node.upstreams import Upstreams
 from crocusroad_wire import Answer, Coverage, ProblemKind, Record
 
 CLAIM_SECONDS = 3.0  # until a claim that the KV does not take is given up
@@ -54,7 +47,6 @@
 }
 
 T = TypeVar('T')
-PickFor = Callable[[Front, str], Pick]  # for a shard of a front
 
 
 class ActionService:
@@ -63,16 +55,14 @@
     def __init__(
         self,
         book: FrontBook,
-        upstreams: Upstreams,
+        runner: ActionRunner,
         keeper: ClaimKeeper,
-        pick_for: PickFor,
         holder: str,
         door: Door,
     ) -> None:
         self._book = book
-        self._upstreams = upstreams
+        self._runner = runner
         self._keeper = keeper
-        self._pick_for = pick_for
         self._holder = holder
         self._door = door
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -125,7 +115,7 @@
         )
         if claim.outcome is not ClaimOutcome.held:
             return _unclaimed(plan, claim)
-        done = await self._run(plan, deadline)
+        done = await self._runner.run(plan, deadline)
         ACTIONS.labels(done.outcome.value).inc()
         answer = _answer(plan, done)
         state = _ENDED[done.outcome]
@@ -134,51 +124,14 @@
             self._keeper.record(plan.claim_key, text, claim.revision),
         )
         if answer is None:
-            return Failure(_ended_refusal(done))
+            return Failure(self._ended_refusal(plan, done))
         return Success(answer)
 
-    async def _run(self, plan: ActionPlan, deadline: float) -> ActionDone:
-        shard = plan.call.request['shard']
-        replicas = plan.shard_map.shards[shard]
-        action = Action(
-            replicas, self._pick_for(plan.target.front, shard), deadline
-        )
-        command = action.begin(asyncio.get_running_loop().time())
-        serial = 0
-        while isinstance(command, RunAction):
-            serial += 1
-            left = _time_left(plan, deadline)
-            command = await self._ask(plan, action, command, serial, left)
-        return command
-
-    async def _ask(
-        self,
-        plan: ActionPlan,
-        action: Action,
-        command: RunAction,
-        serial: int,
-        left: float,
-    ) -> ActionCommand:
-        clock = asyncio.get_running_loop().time
-        if left <= 0:
-            return action.on_lost('deadline', clock(), may_have_run=False)
-        replica: Replica = command.replica
-        message = action_message(plan, serial, left)
-        outcome = await self._upstreams.query(replica, message, left)
-        if not isinstance(outcome, Success):
-            lost = outcome.failure()
-            return action.on_lost(
-                lost.value,
-                clock(),
-                may_have_run=lost.may_have_run,
-            )
-        return action.on_answer(outcome.unwrap()['records'])
-
-
-def _time_left(plan: ActionPlan, deadline: float) -> float:
-    # Both clocks: the loop's may have stood still while the node was paused.
-    by_wall = plan.record['not_after'] - time.time()
-    return min(by_wall, deadline - asyncio.get_running_loop().time())
+    def _ended_refusal(self, plan: ActionPlan, done: ActionDone) -> Refusal:
+        quarantine = None
+        if done.outcome is ActionOutcome.not_run:
+            quarantine = self._runner.quarantine(plan)
+        return quarantine or _ended_refusal(done)
 
 
 def _unclaimed(plan: ActionPlan, claim: ClaimDone) -> Result[Answer, Refusal]:
--- a/packages/node/src/crocusroad_node/serving/_action_plan.py
+++ b/packages/node/src/crocusroad_node/serving/_action_plan.py
@@ -17,8 +17,14 @@
 from crocusroad_core.fronts import ShardMap
 from crocusroad_core.refusals import Refusal, refuse
 from crocusroad_node.claims import claim_key
+from crocusroad_node.serving._call import SearchCall
 from crocusroad_node.serving._target import Target
-from crocusroad_wire import ActionRequest, ProblemKind, UpstreamQuery
+from crocusroad_wire import (
+    ActionRequest,
+    ProblemKind,
+    SearchRequest,
+    UpstreamQuery,
+)
 
 MS_PER_SECOND = 1000
 
@@ -102,6 +108,18 @@
     )
 
 
+def guarded_call(call: ActionCall) -> SearchCall:
+    """Return an action as the crash guard knows it: without its key."""
+    request = call.request
+    asked = {'shard': request['shard'], 'body': request['body']}
+    return SearchCall(
+        call.request_id,
+        call.front,
+        call.token_sha256,
+        SearchRequest(kind=request['kind'], query=asked),
+    )
+
+
 def _key_refusal(state: KeyState, key: str) -> Refusal:
     if state is KeyState.expired:
         detail = f'the key {key} is older than a day'
--- a/packages/node/src/crocusroad_node/serving/_crash_watch.py
+++ b/packages/node/src/crocusroad_node/serving/_crash_watch.py
@@ -1,7 +1,7 @@
 """Upstreams as one search reaches them, its crashes watched."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from returns.result import Failure, Result, Success
 
@@ -42,6 +42,15 @@
         """Tell whether an upstream broke under the search lately."""
         return self._book.is_suspect(self._print, now)
 
+    def prefer(self, order: Iterable[Replica], now: float) -> Replica | None:
+        """Return the first replica not yet broken by it, else the first.
+
+        A second crash of the same replica would prove nothing.
+        """
+        broken = self._book.broken(self._print, now)
+        ranked = sorted(order, key=lambda one: one.name in broken)
+        return ranked[0] if ranked else None
+
     async def query(
         self,
         replica: Replica,
--- a/packages/node/src/crocusroad_node/serving/_poison.py
+++ b/packages/node/src/crocusroad_node/serving/_poison.py
@@ -95,7 +95,7 @@
         if not watch.is_alone:
             return policy.pick(shard, candidates, now)
         order = shard_map.shards.get(shard, candidates)
-        return next((one for one in order if one in candidates), None)
+        return watch.prefer([one for one in order if one in candidates], now)
 
     def hedge_delay(shard: str, now: float) -> float | None:
         if watch.is_alone and watch.is_suspect(now):
--- a/tests/features/poison.feature
+++ b/tests/features/poison.feature
@@ -61,3 +61,16 @@
     Given a fleet without a crash guard
     When the poison comes to each instance in turn, twice
     Then the poison crashed more than 2 upstreams
+
+  Scenario Outline: An action that crashes upstreams, sent with new keys, reports <report>
+    Given a fleet whose crash reports are <report>
+    When one action comes to each instance in turn, three times, with new keys
+    Then at most <ran> upstreams were sent the action
+    And the last action is refused as "<kind>", run "<said>"
+    And a repeat of the first key is refused as "outcome-unknown", run "unknown"
+    And an action of another body is answered
+
+    Examples:
+      | report    | ran | kind        | said |
+      | delivered | 2   | quarantined | no   |
+      | lost      | 8   | quarantined | no   |
