--- a/packages/core/src/crocusroad_core/routing/_budget.py
+++ b/packages/core/src/crocusroad_core/routing/_budget.py
@@ -24,6 +24,11 @@
         self._replacements = REPLACEMENT_BURST
         self._unsent = 0  # attempts that earn nothing, allowed and not sent
 
+    @property
+    def is_scarce(self) -> bool:
+        """Tell whether less than half of the burst is left."""
+        return self._left < self._burst / 2
+
     def on_first(self, now: float) -> None:
         """Earn shares of an attempt by a first attempt."""
         self._left = min(self._burst, self._left + self._share)
--- a/packages/core/src/crocusroad_core/routing/_latency.py
+++ b/packages/core/src/crocusroad_core/routing/_latency.py
@@ -10,6 +10,7 @@
 REFRESH_EVERY: Final = 16  # samples
 WARM_SAMPLES: Final = 32
 QUANTILE: Final = 0.95
+SCARCE_QUANTILE: Final = 0.99  # while little extra load is allowed
 FIRST_DELAY_SECONDS: Final = 0.05
 LEAST_DELAY_SECONDS: Final = 0.005
 MOST_DELAY_SECONDS: Final = 0.25
@@ -22,18 +23,24 @@
     fade. The quantile is worked out anew every `REFRESH_EVERY` samples.
     """
 
-    __slots__ = ('_counts', '_delay', '_seen')
+    __slots__ = ('_counts', '_delay', '_scarce_delay', '_seen')
 
     def __init__(self) -> None:
         self._counts = [float(0) for _ in range(BUCKETS)]
         self._seen = 0
         self._delay = FIRST_DELAY_SECONDS
+        self._scarce_delay = FIRST_DELAY_SECONDS
 
     @property
     def hedge_delay(self) -> float:
         """Return the seconds after which an attempt counts as slow."""
         return self._delay
 
+    @property
+    def scarce_delay(self) -> float:
+        """Return the seconds after which one counts as very slow."""
+        return self._scarce_delay
+
     def record(self, latency: float) -> None:
         """Take the latency of an attempt that was answered, in seconds."""
         place = 0
@@ -57,9 +64,12 @@
         if self._seen % HALVE_EVERY == 0:
             self._counts = [count / 2 for count in self._counts]
         if self._seen >= WARM_SAMPLES:
-            slow = self.quantile(QUANTILE)
-            floor = max(LEAST_DELAY_SECONDS, slow)
-            self._delay = min(MOST_DELAY_SECONDS, floor)
+            self._delay = _bounded(self.quantile(QUANTILE))
+            self._scarce_delay = _bounded(self.quantile(SCARCE_QUANTILE))
+
+
+def _bounded(delay: float) -> float:
+    return min(MOST_DELAY_SECONDS, max(LEAST_DELAY_SECONDS, delay))
 
 
 def _upper_bound(place: int) -> float:
--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -71,6 +71,10 @@
         """Return the seconds after which an attempt of a shard is slow."""
         return self._track(shard).hedge_delay
 
+    def scarce_delay(self, shard: str, now: float) -> float:
+        """Return the seconds after which an attempt is very slow."""
+        return self._track(shard).scarce_delay
+
     def is_leaving(self, replica: Replica, now: float) -> bool:
         """Tell whether any sign says that the replica is leaving."""
         return self._replicas.state(replica, now).is_leaving(now)
--- a/packages/node/src/crocusroad_node/upstreams/_policies.py
+++ b/packages/node/src/crocusroad_node/upstreams/_policies.py
@@ -27,7 +27,7 @@
 ) -> Callable[[Front], Policy]:
     """Return the function that gives each front its policy."""
     pick = _pick(cfg.routing_pick, router, draw)
-    hedge_delay = _hedge_delay(cfg.routing_hedge, router)
+    hedge_delay = _hedge_delay(cfg.routing_hedge, router, budget)
     policies: dict[str, Policy] = {}
 
     def spend(now: float) -> bool:
@@ -90,9 +90,16 @@
     return router.pick
 
 
-def _hedge_delay(name: str, router: Router) -> HedgeSeconds:
+def _hedge_delay(name: str, router: Router, budget: Budget) -> HedgeSeconds:
     if name == 'off':
         return lambda shard, now: None
     if name == 'fixed':
         return lambda shard, now: FIXED_HEDGE_SECONDS
-    return router.hedge_delay
+
+    def adaptive(shard: str, now: float) -> float:
+        # What is left of the budget is kept for the slowest attempts.
+        if budget.is_scarce:
+            return router.scarce_delay(shard, now)
+        return router.hedge_delay(shard, now)
+
+    return adaptive
