--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -98,7 +98,8 @@
             state.load.take_report(load, replica.slots, now)
         state.zone.record(latency)
         view = self._views.get(replica.address)
-        if view is not None:
+        # What a straggler takes must not put off the hedges against it.
+        if view is not None and not view.is_straggler(state):
             view.track.record(latency)
 
     def on_lost(
