--- a/packages/core/src/crocusroad_core/routing/_replica_state.py
+++ b/packages/core/src/crocusroad_core/routing/_replica_state.py
@@ -70,11 +70,6 @@
         self._unhealthy_at = now  # since when health speaks against it
         self._warm_from = now
 
-    @property
-    def mean_latency(self) -> float:
-        """Return the moving mean of the latency, seconds; 0: never seen."""
-        return self._latency
-
     def is_leaving(self, now: float) -> bool:
         """Tell whether any sign says that the replica is leaving."""
         return self.is_listed_leaving or now - self._drain_at < DRAIN_SECONDS
--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -98,8 +98,7 @@
             state.load.take_report(load, replica.slots, now)
         state.zone.record(latency)
         view = self._views.get(replica.address)
-        # What a straggler takes must not put off the hedges against it.
-        if view is not None and not view.is_straggler(state):
+        if view is not None:
             view.track.record(latency)
 
     def on_lost(
--- a/packages/core/src/crocusroad_core/routing/_shard_view.py
+++ b/packages/core/src/crocusroad_core/routing/_shard_view.py
@@ -7,7 +7,6 @@
 from crocusroad_core.routing._replica_state import ReplicaState
 
 VIEW_SECONDS: Final = 10.0
-STRAGGLER_FACTOR: Final = 3.0  # over the fastest replica's mean latency
 
 
 class ShardView:
@@ -48,10 +47,3 @@
         if len(candidates) == len(self.replicas):
             return self.states
         return [one for one in self.states if one.replica in candidates]
-
-    def is_straggler(self, state: ReplicaState) -> bool:
-        """Tell whether a replica is far slower than another of the shard."""
-        known = [one.mean_latency for one in self.states if one.mean_latency]
-        if not known:
-            return False
-        return state.mean_latency > STRAGGLER_FACTOR * min(known)
