Prove the search path with processes, and spare leaving canaries

Cause: searches were proved over the decisions and fakes; the wire, the pools and the drivers had no proof with processes under a steady load.

The stand-in upstream counts what it is asked, holds and cancels, takes its versions by /fault and serves halves of a shard. free_base moves to tests/support; the steps of claims_processes are otherwise unchanged.

A fault of the product, found and mended: since the crash guard is wired in, a search of unknown body goes to a fixed replica, also to one that drains. The guard now passes over a replica that the router wouldn't take by itself. It asks the router with all candidates first, or else a view of one candidate would pass for the whole shard.

--- a/packages/node/src/crocusroad_node/serving/_poison.py
+++ b/packages/node/src/crocusroad_node/serving/_poison.py
@@ -85,7 +85,10 @@
     shard_map: ShardMap,
     watch: CrashWatch,
 ) -> Policy:
-    """Choose by the order of the shard map until the canary answers."""
+    """Choose by the order of the shard map until the canary answers.
+
+    A replica that the policy would not take alone is passed over.
+    """
 
     def pick(
         shard: str,
@@ -94,8 +97,13 @@
     ) -> Replica | None:
         if not watch.is_alone:
             return policy.pick(shard, candidates, now)
+        if policy.pick(shard, candidates, now) is None:
+            return None  # asked with all first: it learns the shard from them
         order = shard_map.shards.get(shard, candidates)
-        return watch.prefer([one for one in order if one in candidates], now)
+        kept = [one for one in order if one in candidates]
+        # The router refuses a replica that leaves while another stays.
+        willing = [one for one in kept if policy.pick(shard, (one,), now)]
+        return watch.prefer(willing, now)
 
     def hedge_delay(shard: str, now: float) -> float | None:
         if watch.is_alone and watch.is_suspect(now):
--- a/tests/features/steps/claims_processes.py
+++ b/tests/features/steps/claims_processes.py
@@ -1,6 +1,4 @@
-import os
 import signal
-import socket
 import tempfile
 import threading
 import time
@@ -16,30 +14,13 @@
     digest,
     wait_until,
 )
+from tests.support.free_ports import free_base
 
 FRONT = 'desk'
 BOUND_SECONDS = 20  # until a revision is in force everywhere
-PORTS = 60
 SHARDS = ['s0', 's1']
 
 
-def free_base():
-    """Return the first of some ports in a row that are free."""
-    for base in range(23000 + os.getpid() % 40 * 100, 32000, PORTS):
-        if all(is_free(base + port) for port in range(PORTS)):
-            return base
-    raise AssertionError('no free ports')
-
-
-def is_free(port):
-    with socket.socket() as probe:
-        try:
-            probe.bind(('127.0.0.1', port))
-        except OSError:
-            return False
-    return True
-
-
 def spec(shards, worth):
     return {
         'shard_maps': [{'version': 1, 'shards': shards}],
--- a/tests/standins/records.py
+++ b/tests/standins/records.py
@@ -32,6 +32,26 @@
     ]
 
 
+def half_records(half, halves, shard, shards):
+    """Return the records of a half of a shard that a newer map splits."""
+    place = halves.index(half)
+    return [
+        record
+        for record in shard_records(shard, shards)
+        if crc32(record['id'].encode()) // len(shards) % len(halves) == place
+    ]
+
+
+def of_version(records, version):
+    """Mark records by their index version, but for the first."""
+    if version == 1:
+        return records
+    return [
+        record | {'fields': record['fields'] | {'version': version}}
+        for record in records
+    ]
+
+
 def search(records, query, limit):
     text = query.get('text', '').lower()
     found = [
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -2,7 +2,9 @@
 
 Run: python -m tests.standins.upstream FILE, where the JSON file lists the
 settings of each replica that the process plays (DEFAULTS below).
-Faults by POST /fault {"mode": "up" | "straggle" | "shed" | "drain" | ...}.
+Faults by POST /fault {"mode": "up" | "straggle" | "shed" | "drain" | ...};
+"versions" there sets the index versions served. A query with "service_ms" in
+it takes that long.
 """
 
 import asyncio
@@ -16,7 +18,12 @@
 import msgspec
 
 from tests.standins.http import read_request, render
-from tests.standins.records import search, shard_records
+from tests.standins.records import (
+    half_records,
+    of_version,
+    search,
+    shard_records,
+)
 
 DEFAULTS = {
     'zone': 'a',
@@ -27,6 +34,7 @@
     'zone_ms': 4.0,
     'queue': 16,
     'versions': [1],
+    'halves': [],  # what `shard` is split into; `half` is served
     'seed': 1,
 }
 STRAGGLE = 20.0
@@ -35,7 +43,7 @@
 class Upstream:
     def __init__(self, cfg):
         self.cfg = DEFAULTS | cfg
-        self.records = shard_records(cfg['shard'], cfg['shards'])
+        self.records = records_of(self.cfg)
         self.found = {}
         self.rng = random.Random(self.cfg['seed'])
         self.slots = asyncio.Semaphore(self.cfg['slots'])
@@ -43,7 +51,9 @@
         self.held = 0
         self.open = 0
         self.ran = 0
+        self.asked = 0
         self.begun = 0
+        self.cancelled = 0
         self.actions = {}
         self.tasks = {}
 
@@ -74,13 +84,17 @@
         await writer.drain()
 
     def on_fault(self, body):
-        self.mode = body['mode']
+        self.mode = body.get('mode', self.mode)
+        self.cfg['versions'] = body.get('versions', self.cfg['versions'])
         return {}
 
     def on_stats(self, body):
         return {
             'ran': self.ran,
+            'asked': self.asked,
             'begun': self.begun,
+            'cancelled': self.cancelled,
+            'held': self.held,
             'actions': self.actions,
             'open': self.open,
         }
@@ -100,6 +114,7 @@
         return {'cancelled': task is not None}
 
     async def query(self, req, body):
+        self.asked += 1
         if self.mode in ('shed', 'drain'):
             reason = 'draining' if self.mode == 'drain' else 'shed'
             return 503, {'x-not-run': reason}, {}
@@ -121,6 +136,7 @@
             self.held -= 1
             self.tasks.pop(body['request_id'], None)
         if task.cancelled():
+            self.cancelled += 1
             return 499, {'x-not-run': 'cancelled'}, {}
         return 200, {}, task.result()
 
@@ -131,7 +147,7 @@
         if far:
             await asyncio.sleep(2 * self.cfg['zone_ms'] / 1000)
         async with self.slots:
-            await asyncio.sleep(self.service_seconds())
+            await asyncio.sleep(self.service_seconds(body['query']))
             self.ran += 1
             if 'idempotency_key' in body:
                 key = body['idempotency_key']
@@ -140,7 +156,9 @@
             'request_id': body['request_id'],
             'shard': body['shard'],
             'version': body['version'],
-            'records': self.search(body['query'], body['limit']),
+            'records': of_version(
+                self.search(body['query'], body['limit']), body['version']
+            ),
             'load': self.held / self.cfg['slots'],
             'versions': self.cfg['versions'],
         }
@@ -151,12 +169,21 @@
             self.found[key] = search(self.records, query, limit)
         return self.found[key]
 
-    def service_seconds(self):
+    def service_seconds(self, query):
+        if 'service_ms' in query:
+            return query['service_ms'] / 1000
         mean = self.cfg['service_ms'] / 1000
         slow = STRAGGLE if self.mode == 'straggle' else 1.0
         return slow * mean * self.rng.lognormvariate(-0.125, 0.5)
 
 
+def records_of(cfg):
+    shard, shards = cfg['shard'], cfg['shards']
+    if not cfg['halves']:
+        return shard_records(shard, shards)
+    return half_records(cfg['half'], cfg['halves'], shard, shards)
+
+
 async def main(cfgs):
     async with asyncio.TaskGroup() as group:
         for cfg in cfgs:
