--- a/packages/core/src/crocusroad_core/gather/_event.py
+++ b/packages/core/src/crocusroad_core/gather/_event.py
@@ -28,6 +28,11 @@
         """Tell whether the upstream may have run the sub-request."""
         return self not in _NOT_RUN
 
+    @property
+    def is_unreached(self) -> bool:
+        """Tell whether the sub-request never got to the upstream."""
+        return self in _UNREACHED
+
 
 _NOT_RUN = frozenset(
     (
@@ -42,6 +47,14 @@
     )
 )
 
+_UNREACHED = frozenset(
+    (
+        FailureReason.connect_refused,
+        FailureReason.connect_timeout,
+        FailureReason.no_connection,
+    )
+)
+
 
 class Reply(NamedTuple):
     """A whole answer of a replica, checked to belong to its attempt."""
--- a/packages/core/src/crocusroad_core/gather/_retries.py
+++ b/packages/core/src/crocusroad_core/gather/_retries.py
@@ -40,6 +40,10 @@
 def _role(flight: Flight, part: Part, now: float) -> AttemptRole | None:
     """Return the role of one more attempt; None if the budget forbids."""
     policy = flight.policy
+    if part.losses[-1].is_unreached:
+        # The lost attempt cost no upstream anything; this one is in its place.
+        policy.replace(False, now)
+        return AttemptRole.replacement
     has_run = part.may_have_run
     if has_run and policy.spend(now):
         return AttemptRole.retry
--- a/tests/features/extra_load.feature
+++ b/tests/features/extra_load.feature
@@ -5,7 +5,8 @@
     Then the load beyond first attempts keeps "<promise>"
 
     Examples:
-      | promise               |
-      | extra_load_is_bounded |
-      | sheds_are_not_a_storm |
-      | refused_hedge_pauses  |
+      | promise                    |
+      | extra_load_is_bounded      |
+      | sheds_are_not_a_storm      |
+      | refused_hedge_pauses       |
+      | dead_replicas_cost_nothing |
--- a/tests/properties/extra_load.py
+++ b/tests/properties/extra_load.py
@@ -1,5 +1,7 @@
 """The bound of all attempts beyond the first ones, over many queries."""
 
+from itertools import product
+
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -21,6 +23,11 @@
 PLAN = Plan(ShardMap(1, {'s': REPLICAS}), 9, 1.0, True)
 BURST = 10
 ALLOWANCE = 50
+UNREACHED = (
+    FailureReason.connect_refused,
+    FailureReason.connect_timeout,
+    FailureReason.no_connection,
+)
 ALLOWANCE_SHARE = 0.01
 
 waves = st.lists(
@@ -45,14 +52,17 @@
         self.asked += 1
         return self.budget.spend(now)
 
-    def query(self, reasons):
+    def policy(self):
         choices = {
             'pick': lambda shard, some, now: some[0],
             'hedge_delay': lambda shard, now: 0.005,
             'spend': self.spend,
             'replace': lambda ran, now: self.budget.replace(ran, now),
         }
-        gather = Gather(PLAN, Policy(*map(choices.get, Policy._fields)))
+        return Policy(*map(choices.get, Policy._fields))
+
+    def query(self, reasons):
+        gather = Gather(PLAN, self.policy())
         commands, now, losses = gather.begin(0.0), 0.0, 0
         while not gather.is_finished:
             for command in commands:
@@ -105,3 +115,18 @@
         load.budget.on_sent(0)
     load.query([])
     assert load.asked <= 5, load.asked
+
+
+def dead_replicas_cost_nothing():
+    """With the budget spent, a shard reaches the last of four replicas."""
+    for reasons in product(UNREACHED, repeat=len(REPLICAS) - 1):
+        load = Load(0)
+        while load.budget.spend(0):
+            load.budget.on_sent(0)
+        gather = Gather(PLAN, load.policy())
+        commands = gather.begin(0.0)
+        for reason in reasons:
+            serial = commands[-1].attempt.serial
+            commands = gather.on_lost(Lost(serial, reason), 0.001)
+            assert isinstance(commands[-1], Send), (reasons, commands)
+        assert commands[-1].attempt.replica == REPLICAS[-1]
