--- a/tests/properties/claims.py
+++ b/tests/properties/claims.py
@@ -2,14 +2,12 @@
 
 from uuid import UUID
 
-from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from crocusroad_core.claims import (
@@ -36,6 +34,7 @@
 from crocusroad_core.fronts import Replica
 from crocusroad_core.kv import CallFault
 from tests.standins.model_kv import CallFate, ModelKv
+from tests.support import machines
 
 NODES = 3
 START = 1_000_000.0
@@ -391,25 +390,9 @@
 
 
 def run_machine(examples, steps):
-    run_state_machine_as_test(
-        ClaimMachine,
-        settings=settings(max_examples=examples, stateful_step_count=steps),
-    )
+    machines.run_machine(ClaimMachine, examples, steps)
 
 
 def variant_fault(name, examples, steps):
     """Return the fault that the machine finds in a known-bad variant."""
-    attribute, bad = VARIANTS[name]
-    machine = type('Variant', (ClaimMachine,), {attribute: bad})
-    try:
-        run_state_machine_as_test(
-            machine,
-            settings=settings(
-                max_examples=examples,
-                stateful_step_count=steps,
-                phases=(Phase.generate,),
-            ),
-        )
-    except AssertionError as exc:
-        return str(exc)
-    return None
+    return machines.variant_fault(ClaimMachine, VARIANTS[name], examples, steps)
--- a/tests/properties/configs.py
+++ b/tests/properties/configs.py
@@ -1,13 +1,11 @@
 """Configuration: the real decisions over a model KV, any interleaving."""
 
-from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from crocusroad_core.configs import (
@@ -25,6 +23,7 @@
 )
 from crocusroad_core.kv import CallFault
 from tests.standins.model_kv import CallFate, ModelKv
+from tests.support import machines
 
 NAMES = ('north', 'south')
 NODES = 3
@@ -318,25 +317,11 @@
 
 
 def run_machine(examples, steps):
-    run_state_machine_as_test(
-        ConfigMachine,
-        settings=settings(max_examples=examples, stateful_step_count=steps),
-    )
+    machines.run_machine(ConfigMachine, examples, steps)
 
 
 def variant_fault(name, examples, steps):
     """Return the fault that the machine finds in a known-bad variant."""
-    attribute, kind = VARIANTS[name]
-    machine = type('Variant', (ConfigMachine,), {attribute: kind})
-    try:
-        run_state_machine_as_test(
-            machine,
-            settings=settings(
-                max_examples=examples,
-                stateful_step_count=steps,
-                phases=(Phase.generate,),
-            ),
-        )
-    except AssertionError as exc:
-        return str(exc)
-    return None
+    return machines.variant_fault(
+        ConfigMachine, VARIANTS[name], examples, steps
+    )
