Serve the users' machines: gateway over the gather, thin

Cause: the product spoke only its own interface; the users' machines speak plain HTTP through routes, their own store and registrations.

Change: packages/platform decodes settings, configuration, registrations and store calls into the project's types; crocusroad_node.gateway passes requests on, by the same Gather and Router as a search; the gather learns to answer in time with enough shards, a merge of its own and a bound on replicas.

Before: nothing served.

--- a/bench/gather_cost.py
+++ b/bench/gather_cost.py
@@ -21,7 +21,7 @@
 POLICY = Policy(
     pick=lambda shard, some, now: some[0],
     hedge_delay=lambda shard, now: 0.05,
-    spend=lambda now: True,
+    spend=lambda shard, now: True,
     replace=lambda has_run, now: True,
 )
 
--- /dev/null
+++ b/packages/core/src/crocusroad_core/discovery/_registration.py
@@ -0,0 +1,16 @@
+"""What a replica says of itself."""
+
+from typing import NamedTuple
+
+
+class Registration(NamedTuple):
+    """What a replica says of itself in the platform's store."""
+
+    name: str  # unique over all replicas that run
+    service: str
+    address: str  # host:port
+    zone: str
+    slots: int  # requests it runs at once
+    is_draining: bool  # it leaves and takes no new work after a while
+    warmup: float  # seconds that it stays slow after its start
+    born: int  # Unix milliseconds of its start; tells incarnations apart
--- a/packages/core/src/crocusroad_core/gather/_command.py
+++ b/packages/core/src/crocusroad_core/gather/_command.py
@@ -1,10 +1,10 @@
 """What a gather asks of the node that drives it."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from crocusroad_core.gather._attempt import Attempt
 from crocusroad_core.gather._outcome import Outcome, Suspect
-from crocusroad_wire import Coverage, Record
+from crocusroad_wire import Coverage
 
 
 class Send(NamedTuple):
@@ -24,7 +24,7 @@
     """The query is over; this is its answer."""
 
     version: int
-    records: list[Record]
+    records: list[Any]
     coverage: Coverage
     outcome: Outcome
     may_have_run: bool  # False only if no upstream can have run it
--- a/packages/core/src/crocusroad_core/gather/_conclude.py
+++ b/packages/core/src/crocusroad_core/gather/_conclude.py
@@ -5,9 +5,9 @@
 
 from crocusroad_core.gather._command import Finish
 from crocusroad_core.gather._event import FailureReason
-from crocusroad_core.gather._merge import merge_records
 from crocusroad_core.gather._outcome import Outcome, Suspect
 from crocusroad_core.gather._part import Part
+from crocusroad_core.gather._plan import Plan
 from crocusroad_wire import Coverage, MissingShard
 
 REASON_DEADLINE = 'deadline'
@@ -19,7 +19,7 @@
     """What a query knows of itself, besides its parts, when it is over."""
 
     version: int
-    limit: int  # records wanted
+    plan: Plan
     may_have_run: bool
     is_expired: bool
     is_suspected: bool
@@ -36,13 +36,16 @@
     ]
     return Finish(
         version=ending.version,
-        records=merge_records(answered, ending.limit),
+        records=ending.plan.merge(answered, ending.plan.limit),
         coverage=Coverage(
             shards=len(parts),
             answered=len(answered),
             missing=missing,
         ),
-        outcome=_outcome(ending, is_answered=bool(answered)),
+        outcome=_outcome(
+            ending,
+            is_answered=ending.plan.is_enough(len(answered), len(parts)),
+        ),
         may_have_run=ending.may_have_run,
         suspects=ending.suspects,
     )
--- a/packages/core/src/crocusroad_core/gather/_event.py
+++ b/packages/core/src/crocusroad_core/gather/_event.py
@@ -1,9 +1,7 @@
 """What a gather is told about its attempts."""
 
 from enum import StrEnum
-from typing import NamedTuple
-
-from crocusroad_wire import Record
+from typing import Any, NamedTuple
 
 
 class FailureReason(StrEnum):
@@ -22,6 +20,7 @@
     garbled = 'garbled'
     crossed = 'crossed'
     cancelled = 'cancelled'
+    failed = 'failed'  # the upstream answered with a failure of its own
 
     @property
     def may_have_run(self) -> bool:
@@ -62,7 +61,7 @@
     serial: int
     shard: str
     version: int
-    records: list[Record]
+    records: list[Any]  # of the kind that the plan merges
 
 
 class Lost(NamedTuple):
--- a/packages/core/src/crocusroad_core/gather/_flight.py
+++ b/packages/core/src/crocusroad_core/gather/_flight.py
@@ -29,6 +29,7 @@
         self.suspects: list[Suspect] = []
         self.may_have_run = False
         self._open = 0  # parts that are neither answered nor missing
+        self._answered = 0  # parts
         self._serial = 0
         self._first_role = AttemptRole.first
 
@@ -37,6 +38,17 @@
         """Tell whether a part is neither answered nor missing."""
         return self._open > 0
 
+    @property
+    def is_enough(self) -> bool:
+        """Tell whether the parts that answered make an answer."""
+        return self.plan.is_enough(self._answered, len(self.parts))
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Tell whether the parts still open cannot make an answer."""
+        most = self._answered + self._open
+        return not self.plan.is_enough(most, len(self.parts))
+
     def start(
         self,
         shard_map: ShardMap,
@@ -47,10 +59,11 @@
         self.shard_map = shard_map
         self._first_role = role
         self.parts = {
-            shard: Part(shard, replicas)
+            shard: Part(shard, replicas, self.plan.max_replicas)
             for shard, replicas in shard_map.shards.items()
         }
         self._open = len(self.parts)
+        self._answered = 0
         if self.canary.is_out:
             self.canary.hold(self.parts)
             return []
@@ -114,6 +127,7 @@
         part = self.parts[attempt.shard]
         del part.running[attempt.serial]
         part.records = event.records
+        self._answered += 1
         self._close(part)
         return self.cancel(part.stop())
 
--- a/packages/core/src/crocusroad_core/gather/_gather.py
+++ b/packages/core/src/crocusroad_core/gather/_gather.py
@@ -27,6 +27,7 @@
         self._flight = Flight(plan, policy)
         self._restart = Restart(self._flight)
         self._is_finished = False
+        self._is_due = False  # an answer with enough shards may go out
 
     @property
     def is_finished(self) -> bool:
@@ -45,7 +46,11 @@
 
     def next_wake(self) -> float:
         """Return when `on_tick` has to be called at the latest."""
-        return min(self._flight.alarms.earliest(), self._plan.deadline)
+        plan = self._plan
+        last = plan.deadline
+        if not self._is_due:
+            last = min(last, plan.answer_by)
+        return min(self._flight.alarms.earliest(), last)
 
     def on_reply(self, event: Reply, now: float) -> list[Command]:
         """Take the answer of an attempt."""
@@ -72,6 +77,7 @@
             return []
         if now >= self._plan.deadline:
             return self._finish(is_expired=True)
+        self._is_due = now >= self._plan.answer_by
         commands: list[Command] = []
         parts = self._flight.parts
         for shard in self._flight.alarms.pop_due(now):
@@ -123,10 +129,17 @@
             if shard is None:
                 break
             commands.extend(flight.first((shard,), now))
-        if not flight.is_open:
+        if not flight.is_open or self._is_settled():
             commands.extend(self._finish())
         return commands
 
+    def _is_settled(self) -> bool:
+        """Tell whether the answer is known though shards are open."""
+        flight = self._flight
+        if self._plan.least_share and flight.is_hopeless:
+            return True
+        return self._is_due and flight.is_enough
+
     def _finish(
         self,
         *,
@@ -137,7 +150,7 @@
         self._is_finished = True
         ending = Ending(
             version=flight.shard_map.version,
-            limit=self._plan.limit,
+            plan=self._plan,
             may_have_run=flight.may_have_run or bool(flight.running),
             is_expired=is_expired,
             is_suspected=is_suspected,
--- a/packages/core/src/crocusroad_core/gather/_hedges.py
+++ b/packages/core/src/crocusroad_core/gather/_hedges.py
@@ -28,7 +28,7 @@
     replica = flight.choose(part, part.untried(), now)
     if replica is None:
         return []
-    if flight.policy.spend(now):
+    if flight.policy.spend(part.shard, now):
         return [flight.send(part, replica, now, AttemptRole.hedge)]
     part.pauses += 1
     pause = HEDGE_PAUSE_SECONDS * 2 ** (part.pauses - 1)
--- a/packages/core/src/crocusroad_core/gather/_part.py
+++ b/packages/core/src/crocusroad_core/gather/_part.py
@@ -1,9 +1,10 @@
 """What a query knows of one of its shards."""
 
+from typing import Any
+
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather._attempt import Attempt
 from crocusroad_core.gather._event import FailureReason
-from crocusroad_wire import Record
 
 # Refusals that may turn into an answer when asked again soon.
 _PASSING = frozenset((FailureReason.shed, FailureReason.no_connection))
@@ -13,10 +14,12 @@
     """One shard of a query: its attempts and what they brought."""
 
     __slots__ = (
+        'asked',
         'asked_again',
         'breaks',
         'has_replaced',
         'losses',
+        'max_replicas',
         'missing',
         'pauses',
         'records',
@@ -27,8 +30,15 @@
         'tried',
     )
 
-    def __init__(self, shard: str, replicas: tuple[Replica, ...]) -> None:
+    def __init__(
+        self,
+        shard: str,
+        replicas: tuple[Replica, ...],
+        max_replicas: int = 0,
+    ) -> None:
         self.shard = shard
+        self.max_replicas = max_replicas  # that may be asked; 0: all of them
+        self.asked: set[str] = set()
         self.replicas = replicas
         self.tried: set[str] = set()
         self.running: dict[int, Attempt] = {}
@@ -38,7 +48,7 @@
         self.pauses = 0  # waits for a refusal to pass
         self.asked_again: set[str] = set()
         self.second: list[Replica] = []  # refused for now, to be asked again
-        self.records: list[Record] | None = None
+        self.records: list[Any] | None = None
         self.missing: str | None = None  # why it is not in the answer
 
     @property
@@ -64,9 +74,12 @@
 
     def untried(self) -> tuple[Replica, ...]:
         """Return the replicas that were not asked yet."""
-        if not self.tried:
+        if not self.tried and not self.asked:
             return self.replicas
-        return tuple(one for one in self.replicas if one.name not in self.tried)
+        allowed = self.replicas
+        if self.max_replicas and len(self.asked) >= self.max_replicas:
+            allowed = tuple(one for one in allowed if one.name in self.asked)
+        return tuple(one for one in allowed if one.name not in self.tried)
 
     def ask_again(self) -> None:
         """Let the replicas that refused for now be asked a second time."""
@@ -78,12 +91,15 @@
     def start(self, attempt: Attempt) -> None:
         """Note an attempt that is sent."""
         self.tried.add(attempt.replica.name)
+        self.asked.add(attempt.replica.name)
         self.running[attempt.serial] = attempt
 
     def lose(self, attempt: Attempt, reason: FailureReason) -> None:
         """Note an attempt that failed."""
         del self.running[attempt.serial]
         name = attempt.replica.name
+        if reason.is_unreached:
+            self.asked.discard(name)
         if reason in _PASSING and name not in self.asked_again:
             self.second.append(attempt.replica)
         if reason is FailureReason.broken:
--- a/packages/core/src/crocusroad_core/gather/_plan.py
+++ b/packages/core/src/crocusroad_core/gather/_plan.py
@@ -1,12 +1,16 @@
 """What one query asks for."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable
+from math import inf
+from typing import Any, NamedTuple
 
 from crocusroad_core.fronts import ShardMap
+from crocusroad_core.gather._merge import merge_records
 
 # Returns the shard map to start over on: (version given up, now); None: none.
 Another = Callable[[int, float], ShardMap | None]
+# Returns the best records of the parts: (parts, limit).
+Merge = Callable[[Iterable[list[Any]], int], list[Any]]
 
 
 class Plan(NamedTuple):
@@ -18,3 +22,11 @@
     is_repeatable: bool
     needs_canary: bool = False  # ask one shard first, the rest after its reply
     another: Another | None = None  # None: never start over
+    merge: Merge = merge_records
+    max_replicas: int = 0  # that may run one shard; 0: as many as there are
+    least_share: float = 0  # of the shards; an answer with less is a failure
+    answer_by: float = inf  # from here on an answer with enough shards goes out
+
+    def is_enough(self, answered: int, shards: int) -> bool:
+        """Tell whether an answer that lacks shards may be given."""
+        return answered > 0 and answered >= self.least_share * shards
--- a/packages/core/src/crocusroad_core/gather/_policy.py
+++ b/packages/core/src/crocusroad_core/gather/_policy.py
@@ -9,8 +9,9 @@
 Pick = Callable[[str, tuple[Replica, ...], float], Replica | None]
 # Seconds after which a shard's attempt is hedged: (shard, now); None: never.
 HedgeDelay = Callable[[str, float], float | None]
-# Takes one unit of extra load from the budget: (now); False if none is left.
-Spend = Callable[[float], bool]
+# Takes one unit of extra load on a shard from the budget: (shard, now);
+# False if none is left.
+Spend = Callable[[str, float], bool]
 # Allows an attempt free of charge, which earns nothing either:
 # (whether an attempt before it may have run, now).
 Replace = Callable[[bool, float], bool]
--- a/packages/core/src/crocusroad_core/gather/_retries.py
+++ b/packages/core/src/crocusroad_core/gather/_retries.py
@@ -45,12 +45,12 @@
         policy.replace(False, now)
         return AttemptRole.replacement
     has_run = part.may_have_run
-    if has_run and policy.spend(now):
+    if has_run and policy.spend(part.shard, now):
         return AttemptRole.retry
     if _may_replace(part) and policy.replace(has_run, now):
         part.has_replaced = True
         return AttemptRole.replacement
-    if not has_run and policy.spend(now):
+    if not has_run and policy.spend(part.shard, now):
         return AttemptRole.retry
     return None
 
--- /dev/null
+++ b/packages/core/src/crocusroad_core/repeats/__init__.py
@@ -0,0 +1,5 @@
+"""The budget of repeats: each service's own, shared by all instances."""
+
+from crocusroad_core.repeats._budget import RepeatBounds, RepeatBudget
+
+__all__ = ['RepeatBounds', 'RepeatBudget']
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -140,3 +140,8 @@
     'STORE_WENT_BACK',
     'WRITES',
 ]
+STORE_CALLS = Counter(
+    'crocusroad_store_calls',
+    'Calls that follow the store, by key prefix and outcome.',
+    ['prefix', 'outcome'],
+)
--- /dev/null
+++ b/packages/node/src/crocusroad_node/exchanges/_call.py
@@ -0,0 +1,118 @@
+"""One exchange from the wait for a connection to its end."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from crocusroad_core.gather import FailureReason
+from crocusroad_node.exchanges._link import Link, Outcome
+from crocusroad_node.exchanges._pool import LinkPool, Taken, Waiter
+
+# The other end answers at the deadline that it was given; its answer takes
+# this many seconds at the most to come. After that the link counts as silent.
+LATE_SECONDS: Final = 0.15
+
+
+class Ending(NamedTuple):
+    """What came of a call."""
+
+    outcome: Outcome
+    seconds: float  # from the sending to the end; 0: it was not sent
+
+
+class Message(NamedTuple):
+    """What is sent."""
+
+    make: Callable[[float], bytes]  # (now): the bytes, made as they are sent
+    request_id: bytes
+    is_head: bool = False
+    freshness: float | None = None  # see LinkPool.take
+
+
+class Call:
+    """One exchange from the wait for a connection to its end."""
+
+    def __init__(
+        self,
+        pool: LinkPool,
+        message: Message,
+        deadline: float,
+        on_end: Callable[[Ending], None],
+    ) -> None:
+        self._pool = pool
+        self._message = message
+        self._loop = asyncio.get_running_loop()
+        self._deadline = deadline
+        self._on_end: Callable[[Ending], None] | None = on_end
+        self._link: Link | None = None
+        self._sent_at: float = 0
+        self._waiter: Waiter | None = None
+        self._timer = self._loop.call_at(deadline, self._expire)
+        self._waiter = pool.take(self._taken, message.freshness)
+
+    @property
+    def is_sent(self) -> bool:
+        """Tell whether the request was sent."""
+        return bool(self._sent_at)
+
+    def abandon(self) -> None:
+        """Care no more for the answer; the other end may finish its work."""
+        self._on_end = None
+        if not self.is_sent:
+            self._unwait()
+
+    def kill(self) -> None:
+        """Stop the work at the other end by closing the connection."""
+        self._on_end = None
+        if self._link is None:
+            self._unwait()
+        else:
+            self._link.close()
+
+    def _taken(self, taken: Taken) -> None:
+        if isinstance(taken, FailureReason):
+            self._timer.cancel()
+            self._tell(taken)
+            return
+        now = self._loop.time()
+        self._link = taken
+        self._sent_at = now
+        self._timer.cancel()
+        self._timer = self._loop.call_at(
+            self._deadline + LATE_SECONDS,
+            self._expire,
+        )
+        taken.send(
+            self._message.make(now),
+            self._message.request_id,
+            self._ended,
+            is_head=self._message.is_head,
+        )
+
+    def _ended(self, outcome: Outcome) -> None:
+        self._timer.cancel()
+        link = self._link
+        self._link = None
+        if link is not None:
+            self._pool.release(link)
+        self._tell(outcome)
+
+    def _expire(self) -> None:
+        if self._link is None:
+            self._unwait()
+            self._tell(FailureReason.no_connection)
+            return
+        self._tell(FailureReason.silent)
+        self._link.close()
+
+    def _unwait(self) -> None:
+        self._timer.cancel()
+        if self._waiter is not None:
+            self._waiter.cancel()
+
+    def _tell(self, outcome: Outcome) -> None:
+        on_end = self._on_end
+        self._on_end = None
+        if on_end is not None:
+            took = self._loop.time() - self._sent_at if self.is_sent else 0
+            on_end(Ending(outcome, took))
--- /dev/null
+++ b/packages/node/src/crocusroad_node/exchanges/_link.py
@@ -0,0 +1,129 @@
+"""One connection, with at most one exchange at a time."""
+
+import asyncio
+import re
+import socket
+from collections.abc import Callable
+from typing import Final, cast
+
+import httptools
+
+from crocusroad_core.gather import FailureReason
+from crocusroad_node.exchanges._reading import Reading
+from crocusroad_node.exchanges._response import Response
+
+# Without an announced timeout a connection is used this long after its last
+# answer, in seconds: below the shortest idle timeout that is usual.
+IDLE_SECONDS: Final = 4.0
+# Kept below the timeout that the other end announces, in seconds: it says
+# whole seconds, and its clock starts before the answer is here.
+IDLE_MARGIN_SECONDS: Final = 0.6
+# A peer that acknowledges nothing for this long is gone, in milliseconds.
+USER_TIMEOUT_MS: Final = 3000
+
+_TIMEOUT = re.compile(rb'timeout=(\d+)')
+
+Outcome = Response | FailureReason
+OnEnd = Callable[[Outcome], None]
+
+
+class Link(asyncio.Protocol):
+    """One connection, with at most one exchange at a time."""
+
+    def __init__(self, clock: Callable[[], float], id_header: bytes) -> None:
+        self.is_open = False
+        self.idle_until = float(0)
+        self.used_at = clock()
+        self._clock = clock
+        self._id_header = id_header
+        self._transport: asyncio.Transport | None = None
+        self._reading: Reading | None = None
+        self._on_end: OnEnd | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info('socket')
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            USER_TIMEOUT_MS,
+        )
+        self.is_open = True
+        self.idle_until = self._clock() + IDLE_SECONDS
+
+    def send(
+        self,
+        raw: bytes,
+        request_id: bytes,
+        on_end: OnEnd,
+        *,
+        is_head: bool = False,
+    ) -> None:
+        """Send a request; `on_end` is told once what came of it."""
+        self._on_end = on_end
+        self._reading = Reading(self._id_header, request_id, is_head=is_head)
+        if self._transport is not None:
+            self._transport.write(raw)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes."""
+        reading = self._reading
+        if reading is None:
+            self.close()  # bytes that nobody asked for
+            return
+        try:
+            reading.feed(data)
+        except httptools.HttpParserError:
+            self.close()
+            if reading.whole is None:
+                self._end(FailureReason.garbled)
+                return
+        if reading.whole is not None:
+            self._complete(reading)
+
+    def eof_received(self) -> None:
+        """Take the orderly end of what the other end sends."""
+        reading = self._reading
+        if reading is not None:
+            reading.finish()
+            if reading.whole is not None:
+                self._complete(reading)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection."""
+        self.is_open = False
+        self._end(FailureReason.broken)
+
+    def close(self) -> None:
+        """Close at once; a request in progress may have run."""
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _complete(self, reading: Reading) -> None:
+        transport = self._transport
+        is_read = (
+            transport is not None and not transport.get_write_buffer_size()
+        )
+        is_reusable = reading.keeps_alive and not reading.has_more and is_read
+        if self.is_open and not is_reusable:
+            self.close()
+        self.used_at = self._clock()
+        self.idle_until = self.used_at + _idle_seconds(reading.keep_alive)
+        if reading.whole is not None:
+            self._end(reading.whole)
+
+    def _end(self, outcome: Outcome) -> None:
+        on_end = self._on_end
+        self._on_end = None
+        self._reading = None
+        if on_end is not None:
+            on_end(outcome)
+
+
+def _idle_seconds(keep_alive: bytes) -> float:
+    found = _TIMEOUT.search(keep_alive)
+    if found is None:
+        return IDLE_SECONDS
+    return int(found.group(1)) - IDLE_MARGIN_SECONDS
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/__init__.py
@@ -0,0 +1,14 @@
+"""The gateway: callers' HTTP requests passed on to replicas or to shards."""
+
+from crocusroad_node.gateway._dialect import Dialect, HeaderNames
+from crocusroad_node.gateway._fleet import FleetKeyValue
+from crocusroad_node.gateway._request import CallerRequest
+from crocusroad_node.gateway._store_http import StoreHttp
+
+__all__ = [
+    'CallerRequest',
+    'Dialect',
+    'FleetKeyValue',
+    'HeaderNames',
+    'StoreHttp',
+]
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_directory.py
@@ -0,0 +1,66 @@
+"""What a gateway believes of routes and replicas."""
+
+from collections.abc import Callable
+
+from crocusroad_core.discovery import Registration, ReplicaTable
+from crocusroad_core.fronts import Replica
+from crocusroad_core.routes import AdoptedTable, RouteTable
+from crocusroad_core.routing import Router
+
+
+class Directory:
+    """The routes in force and the replicas of each service."""
+
+    def __init__(
+        self,
+        adopted: AdoptedTable,
+        registered: ReplicaTable,
+        router: Router,
+        clock: Callable[[], float],
+    ) -> None:
+        self.adopted = adopted
+        self.registered = registered
+        self._router = router
+        self._clock = clock
+        self._candidates: dict[str, tuple[Replica, ...]] = {}
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the routes in force; None if none is known yet."""
+        return self.adopted.table
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether requests can be served."""
+        return self.adopted.table is not None and self.registered.size > 0
+
+    def replicas(self, service: str) -> tuple[Replica, ...]:
+        """Return the replicas of a service that take new work."""
+        found = self._candidates.get(service)
+        if found is None:
+            found = self._build(service)
+            self._candidates[service] = found
+        return found
+
+    def refresh(self) -> None:
+        """Take what changed in the table of routes or of replicas."""
+        self._candidates.clear()
+
+    def _build(self, service: str) -> tuple[Replica, ...]:
+        table = self.adopted.table
+        known = None if table is None else table.services.get(service)
+        limit = 1 if known is None else known.connections
+        listed = self.registered.replicas(service)
+        found = tuple(_replica(one, limit) for one in listed)
+        self._router.on_front(service, found, self._clock())
+        return found
+
+
+def _replica(entry: Registration, connections: int) -> Replica:
+    return Replica(
+        name=entry.name,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        connections=connections,
+    )
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_follow.py
@@ -0,0 +1,106 @@
+"""Following the store: configuration and registrations."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from returns.result import Result, Success
+
+from crocusroad_node.counters import STORE_CALLS
+from crocusroad_node.kv import Batch, Entry, KeyValue, StoreFault
+from crocusroad_node.logs import note
+
+_logger = logging.getLogger(__name__)
+
+# A watch waits this long, in seconds: a connection that fell silent is
+# noticed soon after.
+WATCH_SECONDS: Final = 2.0
+# Pauses before the store is asked again after a fault, in seconds.
+LEAST_PAUSE: Final = 0.1
+MOST_PAUSE: Final = 0.8
+
+
+class Follower:
+    """Keeps up with the keys below a prefix, through faults of the store."""
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        prefix: str,
+        on_listing: Callable[[Mapping[str, Entry]], None],
+        on_changes: Callable[[list[Entry]], None],
+        on_reach: Callable[[bool], None],
+        rest: float = 0,
+    ) -> None:
+        self._kv = kv
+        self._prefix = prefix
+        self._on_listing = on_listing
+        self._on_changes = on_changes
+        self._on_reach = on_reach
+        self._rest = rest  # seconds between two watches, to gather changes
+        self._revision: int | None = None  # None: list anew
+        self._pause = LEAST_PAUSE
+        self._is_reached = True
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            fault = await self._step()
+            if fault is None:
+                self._pause = LEAST_PAUSE
+                await asyncio.sleep(self._rest)
+            elif fault is not StoreFault.compacted:
+                await asyncio.sleep(self._pause)
+                self._pause = min(MOST_PAUSE, self._pause * 2)
+
+    async def _step(self) -> StoreFault | None:
+        if self._revision is None:
+            reply = await self._kv.list(self._prefix)
+        else:
+            reply = await self._kv.watch(
+                self._prefix,
+                self._revision,
+                WATCH_SECONDS,
+            )
+        return self._take(reply)
+
+    def _take(self, reply: Result[Batch, StoreFault]) -> StoreFault | None:
+        if not isinstance(reply, Success):
+            fault = reply.failure()
+            STORE_CALLS.labels(self._prefix, fault.value).inc()
+            self._take_fault(fault)
+            return fault
+        STORE_CALLS.labels(self._prefix, 'answered').inc()
+        self._reach(is_reached=True, fault='')
+        batch = reply.unwrap()
+        if self._revision is None:
+            self._on_listing({one.key: one for one in batch.entries})
+        elif batch.entries:
+            self._on_changes(batch.entries)
+        self._revision = batch.revision
+        return None
+
+    def _take_fault(self, fault: StoreFault) -> None:
+        if fault is StoreFault.compacted:
+            note(_logger, 'store history dropped', prefix=self._prefix)
+            self._revision = None
+            return
+        self._reach(is_reached=False, fault=fault.value)
+
+    def _reach(self, *, is_reached: bool, fault: str) -> None:
+        if is_reached == self._is_reached:
+            return
+        self._is_reached = is_reached
+        event = 'store back' if is_reached else 'store lost'
+        note(
+            _logger,
+            event,
+            prefix=self._prefix,
+            fault=fault,
+            revision=self._revision,
+        )
+        if is_reached:
+            self._on_reach(True)
+        else:
+            self._on_reach(False)
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -0,0 +1,187 @@
+"""The way of a caller's request through the gateway."""
+
+from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+from crocusroad_core.gather import Finish, Gather, Outcome
+from crocusroad_core.repeats import RepeatBudget
+from crocusroad_core.routes import Route, WeightedTurns
+from crocusroad_node.counters import OUTCOMES
+from crocusroad_node.gateway._dialect import Dialect
+from crocusroad_node.gateway._directory import Directory
+from crocusroad_node.gateway._heads import encoder
+from crocusroad_node.gateway._plans import (
+    Target,
+    Times,
+    deadline_of,
+    plan_for,
+    split_records,
+    whole_response,
+)
+from crocusroad_node.gateway._policies import Policies
+from crocusroad_node.gateway._query import Query, Reach, Task
+from crocusroad_node.gateway._reply import Reply, pass_on, refuse
+from crocusroad_node.gateway._report import report
+from crocusroad_node.gateway._request import CallerRequest
+
+# Seconds after which a refused request may come again: replicas that were
+# full have room again after a few runs.
+BUSY_SECONDS: Final = 0.1
+# And where nothing is known yet of routes or replicas.
+UNKNOWN_SECONDS: Final = 0.5
+# A request that may run once only goes on a connection whose last answer is
+# this fresh, in seconds, or on a new one: one that the other end closes
+# meanwhile would leave open whether it ran.
+FRESH_SECONDS: Final = 1.0
+
+Answer = Callable[[Reply], None]
+
+
+class Parts(NamedTuple):
+    """What the gateway works with."""
+
+    dialect: Dialect
+    directory: Directory
+    reach: Reach
+    policies: Policies
+    budget: RepeatBudget
+    turns: WeightedTurns
+
+
+def _nothing() -> None:
+    """Stop nothing: the request was answered at once."""
+
+
+class Gateway:
+    """Finds the route of each request, asks replicas and answers."""
+
+    def __init__(self, parts: Parts, clock: Callable[[], float]) -> None:
+        self.in_flight = 0
+        self._parts = parts
+        self._clock = clock
+        names = parts.dialect.headers
+        self._internal = frozenset((names.load, names.expected_replica))
+
+    def begin(self, req: CallerRequest, answer: Answer) -> Callable[[], None]:
+        """Begin the work on a request; return what stops it."""
+        table = self._parts.directory.table
+        if table is None:
+            answer(refuse(503, 'no configuration is known', UNKNOWN_SECONDS))
+            return _nothing
+        route = table.find(req.host, req.path)
+        if route is None:
+            report(req, self._id(req), version=table.version, outcome='404')
+            answer(refuse(404, 'no route'))
+            return _nothing
+        if not self._id(req):
+            answer(refuse(400, 'the request has no id'))
+            return _nothing
+        shards = route.shards or (self._parts.turns.next_service(route),)
+        return self._ask(req, Target(table, route, shards), answer)
+
+    def _ask(
+        self,
+        req: CallerRequest,
+        target: Target,
+        answer: Answer,
+    ) -> Callable[[], None]:
+        parts = self._parts
+        route = target.route
+        for shard in target.shards:
+            parts.budget.earn(shard)
+        header = parts.dialect.headers.deadline
+        times = Times(req.received_at, deadline_of(req, route, header))
+        plan = plan_for(target, parts.directory, times)
+        query = Query(
+            Gather(plan, parts.policies.policy_for(route)),
+            self._task(req, route),
+            parts.reach,
+            lambda finish: self._finish(req, target, query, finish, answer),
+        )
+        self.in_flight += 1
+        query.begin()
+        return lambda: self._left(req, target, query)
+
+    def _task(self, req: CallerRequest, route: Route) -> Task:
+        dialect = self._parts.dialect
+        return Task(
+            route=route.name,
+            request_id=self._id(req),
+            encode=encoder(req, dialect.headers),
+            is_head=req.is_head,
+            freshness=None if route.is_repeatable else FRESH_SECONDS,
+            must_be_success=route.is_repeatable,
+            read=partial(split_records, size=dialect.record_bytes)
+            if route.is_fan_out
+            else whole_response,
+        )
+
+    def _finish(
+        self,
+        req: CallerRequest,
+        target: Target,
+        query: Query,
+        finish: Finish,
+        answer: Answer,
+    ) -> None:
+        self.in_flight -= 1
+        OUTCOMES.labels(finish.outcome.value).inc()
+        reply = self._reply(target, query, finish)
+        report(
+            req,
+            self._id(req),
+            route=target.route.name,
+            version=target.table.version,
+            outcome=finish.outcome.value,
+            status=reply.status,
+            shards=len(target.shards),
+            answered=len(query.answers),
+            sent=query.sent,
+            took_ms=round((self._clock() - req.received_at) * 1000, 1),
+            attempts=query.traces,
+        )
+        answer(reply)
+
+    def _reply(self, target: Target, query: Query, finish: Finish) -> Reply:
+        if finish.outcome is Outcome.answered:
+            if target.route.is_fan_out:
+                return self._merged(target, query, finish)
+            only = next(iter(query.answers.values()))
+            return pass_on(only, self._internal)
+        if not finish.may_have_run:
+            return refuse(503, 'no replica could run it', BUSY_SECONDS)
+        if query.failure is not None and not target.route.is_fan_out:
+            return pass_on(query.failure, self._internal)
+        if finish.outcome is Outcome.expired:
+            return refuse(504, 'not answered in time')
+        return refuse(502, 'replicas failed')
+
+    def _merged(self, target: Target, query: Query, finish: Finish) -> Reply:
+        names = self._parts.dialect.headers
+        signatures = [
+            one.header(names.signature) or b'' for one in query.answers.values()
+        ]
+        missing = len(target.shards) - len(signatures)
+        headers = (
+            (names.shard_signatures, b', '.join(signatures)),
+            (names.missing_shards, b'%d' % missing),
+        )
+        return Reply(HTTPStatus.OK, headers, b''.join(finish.records))
+
+    def _left(self, req: CallerRequest, target: Target, query: Query) -> None:
+        self.in_flight -= 1
+        query.stop()
+        report(
+            req,
+            self._id(req),
+            route=target.route.name,
+            version=target.table.version,
+            outcome='caller left',
+            sent=query.sent,
+            took_ms=round((self._clock() - req.received_at) * 1000, 1),
+        )
+
+    def _id(self, req: CallerRequest) -> bytes:
+        return req.header(self._parts.dialect.headers.request_id)
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -0,0 +1,231 @@
+"""One request on its way: the commands of its gather become calls."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from crocusroad_core.fronts import Replica
+from crocusroad_core.gather import (
+    Attempt,
+    Cancel,
+    Command,
+    FailureReason,
+    Finish,
+    Gather,
+    Lost,
+    Reply,
+    Send,
+)
+from crocusroad_core.routing import Router
+from crocusroad_node.counters import ATTEMPTS, LOST
+from crocusroad_node.exchanges import (
+    Call,
+    Ending,
+    LinkPool,
+    Message,
+    Response,
+)
+from crocusroad_node.gateway._dialect import HeaderNames
+from crocusroad_node.gateway._heads import Encode
+from crocusroad_node.gateway._judge import judge, read_load
+
+
+class Reach(NamedTuple):
+    """How replicas are reached and what is learned of them."""
+
+    names: HeaderNames
+    router: Router
+    pool: Callable[[Replica], LinkPool]
+    record_latency: Callable[[str, float], None]  # (route, seconds)
+
+
+class Task(NamedTuple):
+    """What one request is to its query."""
+
+    route: str
+    request_id: bytes
+    encode: Encode
+    is_head: bool
+    freshness: float | None  # seconds; see LinkPool.take
+    must_be_success: bool  # a replica's failure is no answer
+    read: Callable[[Response], list[object]]  # records of an answer
+
+
+class Trace(NamedTuple):
+    """An attempt that says something of how a request went."""
+
+    shard: str
+    replica: str
+    role: str
+    outcome: str
+    seconds: float  # from its sending
+
+
+MAX_TRACES = 12  # of one request that are kept
+
+
+class Query:
+    """One request on its way; `on_finish` is told once."""
+
+    def __init__(
+        self,
+        gather: Gather,
+        task: Task,
+        reach: Reach,
+        on_finish: Callable[[Finish], None],
+    ) -> None:
+        self.answers: dict[str, Response] = {}  # by shard
+        self.failure: Response | None = None  # a replica's own, the last one
+        self.traces: list[Trace] = []
+        self.sent = 0
+        self._gather = gather
+        self._task = task
+        self._reach = reach
+        self._on_finish: Callable[[Finish], None] | None = on_finish
+        self._loop = asyncio.get_running_loop()
+        self._calls: dict[int, Call] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._wake_at: float = 0
+
+    def begin(self) -> None:
+        """Send the first attempts."""
+        self._carry_out(self._gather.begin(self._loop.time()))
+
+    def stop(self) -> None:
+        """Stop the work everywhere: the caller has left."""
+        self._on_finish = None
+        self._stop_timer()
+        for call in self._calls.values():
+            call.kill()
+        self._calls.clear()
+
+    def _carry_out(self, commands: list[Command]) -> None:
+        for command in commands:
+            if isinstance(command, Send):
+                self._send(command.attempt, command.deadline)
+            elif isinstance(command, Cancel):
+                self._cancel(command.attempt)
+            else:
+                self._finish(command)
+        self._set_timer()
+
+    def _send(self, attempt: Attempt, deadline: float) -> None:
+        replica = attempt.replica
+        ATTEMPTS.labels(attempt.role.value).inc()
+        self.sent += 1
+        self._reach.router.on_sent(replica, self._loop.time())
+
+        def make(now: float) -> bytes:
+            return self._task.encode(replica, deadline, now)
+
+        message = Message(
+            make,
+            self._task.request_id,
+            self._task.is_head,
+            self._task.freshness,
+        )
+        pool = self._reach.pool(replica)
+        self._calls[attempt.serial] = Call(
+            pool,
+            message,
+            deadline,
+            lambda ending: self._ended(attempt, ending),
+        )
+
+    def _cancel(self, attempt: Attempt) -> None:
+        call = self._calls.pop(attempt.serial, None)
+        if call is None:
+            return
+        now = self._loop.time()
+        took = now - attempt.sent_at
+        self._trace(attempt, 'given up', took)
+        router = self._reach.router
+        router.on_lost(attempt.replica, FailureReason.cancelled, took, now)
+        call.abandon()
+
+    def _ended(self, attempt: Attempt, ending: Ending) -> None:
+        if self._calls.pop(attempt.serial, None) is None:
+            return
+        now = self._loop.time()
+        outcome = ending.outcome
+        if isinstance(outcome, FailureReason):
+            self._lose(attempt, outcome, ending.seconds, now)
+            return
+        reason = judge(
+            outcome,
+            self._reach.names,
+            must_be_success=self._task.must_be_success,
+        )
+        if reason is None:
+            self._answered(attempt, outcome, ending.seconds, now)
+            return
+        if reason in _OWN_FAILURES:
+            self.failure = outcome
+        self._lose(attempt, reason, ending.seconds, now)
+
+    def _answered(
+        self,
+        attempt: Attempt,
+        response: Response,
+        took: float,
+        now: float,
+    ) -> None:
+        load = read_load(response, self._reach.names)
+        self._reach.router.on_reply(attempt.replica, took, load, now)
+        self._reach.record_latency(self._task.route, took)
+        if attempt.role != 'first':
+            self._trace(attempt, 'answered', took)
+        self.answers[attempt.shard] = response
+        records = self._task.read(response)
+        reply = Reply(attempt.serial, attempt.shard, attempt.version, records)
+        self._carry_out(self._gather.on_reply(reply, now))
+
+    def _lose(
+        self,
+        attempt: Attempt,
+        reason: FailureReason,
+        took: float,
+        now: float,
+    ) -> None:
+        LOST.labels(reason.value).inc()
+        self._trace(attempt, reason.value, took)
+        self._reach.router.on_lost(attempt.replica, reason, took, now)
+        lost = Lost(attempt.serial, reason)
+        self._carry_out(self._gather.on_lost(lost, now))
+
+    def _finish(self, finish: Finish) -> None:
+        self._stop_timer()
+        on_finish = self._on_finish
+        self._on_finish = None
+        if on_finish is not None:
+            on_finish(finish)
+
+    def _trace(self, attempt: Attempt, outcome: str, took: float) -> None:
+        if len(self.traces) < MAX_TRACES:
+            replica = attempt.replica.name
+            role = attempt.role.value
+            trace = Trace(attempt.shard, replica, role, outcome, took)
+            self.traces.append(trace)
+
+    def _set_timer(self) -> None:
+        if self._on_finish is None:
+            return
+        wake = self._gather.next_wake()
+        if self._timer is not None:
+            if self._wake_at <= wake:
+                return  # fires early at worst, and is set again then
+            self._timer.cancel()
+        self._wake_at = wake
+        self._timer = self._loop.call_at(wake, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._carry_out(self._gather.on_tick(self._loop.time()))
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+_OWN_FAILURES = frozenset((FailureReason.failed, FailureReason.cancelled))
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_report.py
@@ -0,0 +1,19 @@
+"""The log line of a request."""
+
+import logging
+
+from crocusroad_node.gateway._request import CallerRequest
+from crocusroad_node.logs import note
+
+_logger = logging.getLogger(__name__)
+
+
+def report(req: CallerRequest, request_id: bytes, **fields: object) -> None:
+    """Log how a request ended and what decided it."""
+    note(
+        _logger,
+        'request',
+        id=request_id.decode('latin-1'),
+        path=req.path,
+        **fields,
+    )
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_store_http.py
@@ -0,0 +1,71 @@
+"""Calls to the store over kept connections."""
+
+import asyncio
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from crocusroad_core.gather import FailureReason
+from crocusroad_node.exchanges import (
+    Call,
+    Ending,
+    LinkPool,
+    Message,
+    Response,
+)
+from crocusroad_node.kv import StoreFault
+
+MAX_LINKS: Final = 6  # three watches, and calls beside them
+_NO_ID: Final = b''
+
+
+class StoreHttp:
+    """Carries calls to the store out; an `Exchanger` of the adapter."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._pool = LinkPool(address, _NO_ID, lambda: MAX_LINKS)
+        self._host = '{}:{}'.format(*address)
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        seconds: float,
+    ) -> Result[Response, StoreFault]:
+        """Return the response; a fault if none came in `seconds`."""
+        loop = asyncio.get_running_loop()
+        done: asyncio.Future[Ending] = loop.create_future()
+        raw = self._encode(method, target, body)
+        call = Call(
+            self._pool,
+            Message(lambda now: raw, _NO_ID),
+            loop.time() + seconds,
+            lambda ending: None if done.done() else done.set_result(ending),
+        )
+        try:
+            ending = await done
+        finally:
+            if not done.done():
+                call.kill()
+        outcome = ending.outcome
+        if isinstance(outcome, FailureReason):
+            return Failure(_fault(outcome))
+        return Success(outcome)
+
+    def close(self) -> None:
+        """Close the connections at rest."""
+        self._pool.close()
+
+    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+        head = f'{method} {target} HTTP/1.1\r\nHost: {self._host}\r\n'
+        if body or method == 'POST':
+            head += 'Content-Type: application/json\r\n'
+            head += f'Content-Length: {len(body)}\r\n'
+        return f'{head}\r\n'.encode() + body
+
+
+def _fault(reason: FailureReason) -> StoreFault:
+    if reason.may_have_run:
+        return StoreFault.unknown
+    return StoreFault.unavailable
--- a/packages/node/src/crocusroad_node/platform/_port.py
+++ b/packages/node/src/crocusroad_node/kv/_port.py
@@ -4,8 +4,8 @@
 
 from returns.result import Result
 
-from crocusroad_node.platform._entry import Batch, Entry
-from crocusroad_node.platform._fault import StoreFault
+from crocusroad_node.kv._entry import Batch, Entry
+from crocusroad_node.kv._fault import StoreFault
 
 
 class KeyValue(Protocol):
--- a/packages/node/src/crocusroad_node/logs.py
+++ b/packages/node/src/crocusroad_node/logs.py
@@ -3,15 +3,21 @@
 import logging
 import sys
 from datetime import UTC, datetime
+from typing import TextIO
 
 from crocusroad_wire import encode_json_text
 
 _EXTRA = 'fields'
 
 
-def configure_logs(layout: str, level: str, instance: str) -> None:
-    """Send log records to standard error as JSON lines or as text."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logs(
+    layout: str,
+    level: str,
+    instance: str,
+    stream: TextIO = sys.stderr,
+) -> None:
+    """Send log records to a stream as JSON lines or as text."""
+    handler = logging.StreamHandler(stream)
     formatter = _JsonFormatter(instance)
     if layout == 'text':
         formatter = _TextFormatter(instance)
--- a/packages/node/src/crocusroad_node/platform/_events.py
+++ b/packages/node/src/crocusroad_node/platform/_events.py
@@ -5,9 +5,7 @@
 from returns.result import Result, Success
 
 from crocusroad_core.kv import CallFault, Found, StoreEvent, Swapped
-from crocusroad_node.platform._entry import Entry
-from crocusroad_node.platform._fault import StoreFault
-from crocusroad_node.platform._port import KeyValue
+from crocusroad_node.kv import Entry, KeyValue, StoreFault
 
 _FAULTS: Final = {
     StoreFault.conflict: CallFault.conflict,
--- a/packages/node/src/crocusroad_node/platform/_instances.py
+++ b/packages/node/src/crocusroad_node/platform/_instances.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from crocusroad_node.exchange_errors import EXCHANGE_ERRORS
-from crocusroad_node.platform._fault import StoreFault
+from crocusroad_node.kv import StoreFault
 from crocusroad_wire import decode_json
 
 CALL_SECONDS = 2.0
--- a/packages/node/src/crocusroad_node/platform/_kv.py
+++ b/packages/node/src/crocusroad_node/platform/_kv.py
@@ -7,13 +7,12 @@
 from returns.result import Failure, Result, Success
 
 from crocusroad_node.exchange_errors import CONNECT_ERRORS, EXCHANGE_ERRORS
+from crocusroad_node.kv import Batch, Entry, StoreFault
 from crocusroad_node.platform._clients import (
     CONNECT_SECONDS,
     Clients,
     Response,
 )
-from crocusroad_node.platform._entry import Batch, Entry
-from crocusroad_node.platform._fault import StoreFault
 from crocusroad_wire import DecodeError, decode_json, encode_json
 
 CALL_SECONDS = 2.0
--- a/packages/node/src/crocusroad_node/upstreams/_policies.py
+++ b/packages/node/src/crocusroad_node/upstreams/_policies.py
@@ -15,7 +15,7 @@
 Draw = Callable[[], float]
 PickReplica = Callable[[str, tuple[Replica, ...], float], Replica | None]
 HedgeSeconds = Callable[[str, float], float | None]
-Spend = Callable[[float], bool]
+Spend = Callable[[str, float], bool]
 Replace = Callable[[bool, float], bool]
 
 
@@ -30,7 +30,7 @@
     hedge_delay = _hedge_delay(cfg.routing_hedge, router, budget)
     policies: dict[str, Policy] = {}
 
-    def spend(now: float) -> bool:
+    def spend(shard: str, now: float) -> bool:
         is_allowed = budget.spend(now)
         if not is_allowed:
             EXTRA_REFUSED.inc()
--- /dev/null
+++ b/packages/platform/src/crocusroad_platform/_dialect.py
@@ -0,0 +1,34 @@
+"""The platform's words, as the gateway takes them."""
+
+from typing import Final
+
+from crocusroad_node.gateway import Dialect, HeaderNames
+from crocusroad_platform import _headers
+from crocusroad_platform._registrations import (
+    REPLICAS_PREFIX,
+    decode_registration,
+)
+from crocusroad_platform._route_config import CONFIG_KEY, decode_config
+
+# The project's own part of the store's keys.
+INSTANCES_PREFIX: Final = 'crocusroad/instances/'
+
+DIALECT: Final = Dialect(
+    headers=HeaderNames(
+        request_id=_headers.REQUEST_ID,
+        deadline=_headers.DEADLINE_MS,
+        signature=_headers.SIGNATURE,
+        expected_replica=_headers.EXPECTED_REPLICA,
+        load=_headers.LOAD,
+        not_run=_headers.NOT_RUN,
+        shard_signatures=_headers.SHARD_SIGNATURES,
+        missing_shards=_headers.MISSING_SHARDS,
+    ),
+    ready_path=_headers.READY_PATH,
+    record_bytes=_headers.RECORD_BYTES,
+    config_key=CONFIG_KEY,
+    replicas_prefix=REPLICAS_PREFIX,
+    instances_prefix=INSTANCES_PREFIX,
+    decode_config=decode_config,
+    decode_registration=decode_registration,
+)
--- a/tests/features/steps/fault_matrix.py
+++ b/tests/features/steps/fault_matrix.py
@@ -93,7 +93,7 @@
         self.seconds = None
         self.finish = None
 
-    def spend(self, now):
+    def spend(self, shard, now):
         is_left = self.spent < self.budget
         self.spent += is_left
         return is_left
--- a/tests/properties/extra_load.py
+++ b/tests/properties/extra_load.py
@@ -48,7 +48,7 @@
         self.budget = Budget(share)
         self.first = self.beyond = self.not_run = self.asked = 0
 
-    def spend(self, now):
+    def spend(self, shard, now):
         self.asked += 1
         return self.budget.spend(now)
 
--- a/tests/properties/gather.py
+++ b/tests/properties/gather.py
@@ -82,7 +82,7 @@
         self.gather = Gather(self.plan, policy)
         self.take(self.gather.begin(self.now))
 
-    def spend(self, now):
+    def spend(self, shard, now):
         is_left = self.spent < self.budget
         self.spent += is_left
         return is_left
@@ -247,7 +247,7 @@
     policy = Policy(
         pick=lambda shard, some, now: some[0],
         hedge_delay=lambda shard, now: 0.05,
-        spend=lambda now: True,
+        spend=lambda shard, now: True,
         replace=lambda has_run, now: True,
     )
     gather = Gather(plan, policy)
