Tell the store's news on among instances, and see overdue replicas

Ruled out: opening of connections as what held front-orkhon-a-11 up for 0.7 s (traced: 90 open in 20 ms); it was its 20 Mbit/s link, full with the configuration told to a whole zone.

Change: two readers (one a zone in large fleets), widest links first, tell the others over a long poll, compressed; steady clock of the system; the margin before an answer is learnt; a replica that owes an answer scores worse; ready connections are preferred; a late timer reads answers before it asks more.

--- a/packages/core/src/crocusroad_core/gather/__init__.py
+++ b/packages/core/src/crocusroad_core/gather/__init__.py
@@ -7,6 +7,7 @@
 from crocusroad_core.gather._outcome import Outcome, Suspect
 from crocusroad_core.gather._plan import Another, Plan
 from crocusroad_core.gather._policy import Policy
+from crocusroad_core.gather._punctuality import Punctuality
 
 __all__ = [
     'Another',
@@ -21,6 +22,7 @@
     'Outcome',
     'Plan',
     'Policy',
+    'Punctuality',
     'Reply',
     'Send',
     'Suspect',
--- a/packages/core/src/crocusroad_core/routing/_replica_state.py
+++ b/packages/core/src/crocusroad_core/routing/_replica_state.py
@@ -1,5 +1,6 @@
 """What an instance knows of one replica."""
 
+from math import inf
 from typing import Final
 
 from crocusroad_core.fronts import Replica
@@ -21,6 +22,9 @@
 PROBE_SECONDS: Final = 1.0  # between attempts against what health says
 DEAD_SECONDS: Final = 3600.0  # added to the score of one that looks dead
 
+# An answer that takes this many expected times is not merely slow.
+OVERDUE_FACTOR: Final = 2.0
+
 _NONE: Final = float(0)
 
 
@@ -36,6 +40,7 @@
         '_full_until',
         '_is_unhealthy',
         '_latency',
+        '_owed_since',
         '_sent_at',
         '_unhealthy_at',
         '_warm_from',
@@ -62,6 +67,7 @@
         self._fastest = _NONE  # seconds
         self._answered_at = now - LATENCY_SECONDS
         self._sent_at = now
+        self._owed_since = inf  # oldest attempt without any answer since
         self._failures = 0  # in a row
         self._backoff_until = now
         self._full_until = now
@@ -100,14 +106,28 @@
             expected += (self._latency - expected) * fresh
         slots = self.replica.slots * self._ramp(now)
         held = self.load.held(self._answered_at, peers, now) + 1
-        score = expected * (1 + held / slots)
+        score = expected * (1 + held / slots) + self._overdue(expected, now)
         if self._is_unhealthy or self._failures:
             score += DEAD_SECONDS * self.looks_dead(now)
         return score
 
+    def _overdue(self, expected: float, now: float) -> float:
+        """Return the further wait for a replica that owes an answer.
+
+        One that has answered nothing for some expected times is paused or
+        gone; the longer it has lasted, the longer it is expected to last.
+        """
+        owed = now - self._owed_since
+        return owed if owed > OVERDUE_FACTOR * expected else _NONE
+
+    def take_life(self, now: float) -> None:
+        """Take any answer, also a late one: the replica works."""
+        self._owed_since = now if self.load.in_flight else inf
+
     def take_sent(self, now: float) -> None:
         """Count an attempt that starts."""
         self._sent_at = now
+        self._owed_since = min(self._owed_since, now)
         self.load.take_sent()
 
     def take_answer(self, latency: float, now: float) -> None:
@@ -115,6 +135,7 @@
         if self._failures >= DOWN_FAILURES:
             self._warm_from = now
         self._failures = 0
+        self.take_life(now)
         self.take_latency(latency, now)
 
     def take_slower(self, latency: float, now: float) -> None:
--- a/packages/core/src/crocusroad_core/routing/_replicas.py
+++ b/packages/core/src/crocusroad_core/routing/_replicas.py
@@ -7,7 +7,6 @@
 from crocusroad_core.routing._replica_state import ReplicaState
 from crocusroad_core.routing._zones import Zones
 
-
 Key = tuple[str, str]  # name and address, which are both used again
 
 
--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -23,6 +23,7 @@
         FailureReason.broken,
         FailureReason.garbled,
         FailureReason.crossed,
+        FailureReason.failed,
     ),
 )
 # Seconds without work after a refusal for want of room.
@@ -32,14 +33,25 @@
 }
 
 
+def _no_cost(replica: Replica) -> float:
+    return 0
+
+
 class Router:
     """State of every replica, and the choice among candidates by it.
 
-    `draw` gives floats in [0, 1).
+    `draw` gives floats in [0, 1). `opening_cost` gives the seconds that a
+    request to a replica waits for a connection.
     """
 
-    def __init__(self, zone: str, draw: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        zone: str,
+        draw: Callable[[], float],
+        opening_cost: Callable[[Replica], float] = _no_cost,
+    ) -> None:
         self._draw = draw
+        self._opening_cost = opening_cost
         self._replicas = Replicas(Zones(zone))
         self._tracks: dict[str, LatencyTrack] = {}  # by shard
         self._views: dict[str, ShardView] = {}  # by shard
@@ -112,6 +124,7 @@
         """Take the end of an attempt that brought no answer."""
         state = self._replicas.state(replica, now)
         state.load.take_done()
+        state.take_life(now)
         if reason in _FAILURES:
             state.take_failure(now)
         elif reason in _PAUSES:
@@ -122,6 +135,31 @@
         if reason.may_have_run:
             state.take_slower(latency, now)
 
+    def on_abandoned(
+        self,
+        replica: Replica,
+        waited: float,
+        now: float,
+    ) -> None:
+        """Take that an attempt is waited for no more; it goes on there."""
+        state = self._replicas.state(replica, now)
+        state.load.take_done()
+        state.take_slower(waited, now)
+
+    def on_late(
+        self,
+        replica: Replica,
+        now: float,
+        *,
+        is_answered: bool,
+    ) -> None:
+        """Take the end of an attempt that was abandoned."""
+        state = self._replicas.state(replica, now)
+        if is_answered:
+            state.take_life(now)
+        else:
+            state.take_failure(now)
+
     def on_draining(self, replica: Replica, now: float) -> None:
         """Take a sign of leaving that came with an answer."""
         self._replicas.state(replica, now).take_drain(now)
@@ -165,7 +203,7 @@
         ready = [one for one in states if one.is_ready(now)]
         return lesser_of_two(
             ready or states,
-            lambda one: one.score(peers, now),
+            lambda one: one.score(peers, now) + self._opening_cost(one.replica),
             self._draw,
         ).replica
 
--- /dev/null
+++ b/packages/core/src/crocusroad_core/sources/_member.py
@@ -0,0 +1,12 @@
+"""One instance of the fleet, as it registers itself."""
+
+from typing import NamedTuple
+
+
+class Member(NamedTuple):
+    """One instance of the fleet, as it registers itself."""
+
+    name: str
+    zone: str
+    address: str  # host:port where the others ask it
+    link_mbps: float = 0  # of its own link, which telling the others takes
--- /dev/null
+++ b/packages/core/src/crocusroad_core/sources/_ring.py
@@ -0,0 +1,73 @@
+"""Which instances read the store, and whom the others ask."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import Final
+
+from crocusroad_core.sources._member import Member
+
+# Two readers, so that one may be lost; in a large fleet one for each zone,
+# as long as each has this many instances to tell.
+LEAST_READERS: Final = 2
+FOLLOWERS: Final = 8
+# A source that failed is not asked again for this long, in seconds: longer
+# than a restart, shorter than the lease of an instance that is gone.
+SHUN_SECONDS: Final = 5.0
+
+
+class SourceRing:
+    """Chooses the instances that read the store, alike on each instance.
+
+    Readers are the first of each zone by a hash of their names, so that
+    instances that list the same members agree without a word. One that
+    lists too few or too many members only asks a source less well chosen.
+    """
+
+    def __init__(self, own: Member) -> None:
+        self._own = own
+        self._readers: tuple[Member, ...] = ()
+        self._shunned: dict[str, float] = {}  # until when, by address
+        self.count = 0  # members listed
+
+    @property
+    def is_reader(self) -> bool:
+        """Tell whether this instance reads the store itself."""
+        return any(one.name == self._own.name for one in self._readers)
+
+    def on_members(self, members: Iterable[Member]) -> None:
+        """Take the list of instances."""
+        ranked = sorted(members, key=_rank)
+        self.count = len(ranked)
+        firsts: dict[str, Member] = {}
+        for member in ranked:
+            firsts.setdefault(member.zone, member)
+        rest = [one for one in ranked if firsts[one.zone] is not one]
+        wanted = max(LEAST_READERS, self.count // FOLLOWERS)
+        spread = [*firsts.values(), *rest[:LEAST_READERS]]
+        self._readers = tuple(spread[: min(wanted, max(2, len(firsts)))])
+
+    def on_fault(self, source: Member, now: float) -> None:
+        """Take that a source did not answer."""
+        self._shunned[source.address] = now + SHUN_SECONDS
+
+    def sources(self, now: float) -> list[Member]:
+        """Return the instances to ask, best first; then the store itself."""
+        if self.is_reader or not self._readers:
+            return []
+        fine = [one for one in self._readers if self._is_fine(one, now)]
+        start = _number(self._own) % len(self._readers)
+        turned = fine[start:] + fine[:start]
+        return sorted(turned, key=lambda one: one.zone != self._own.zone)
+
+    def _is_fine(self, source: Member, now: float) -> bool:
+        return self._shunned.get(source.address, now) <= now
+
+
+def _rank(member: Member) -> tuple[float, int, str]:
+    """Put the widest links first, and those alike in the order of a hash."""
+    return -member.link_mbps, _number(member), member.name
+
+
+def _number(member: Member) -> int:
+    digest = blake2b(member.name.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
--- a/packages/node/src/crocusroad_node/exchanges/_call.py
+++ b/packages/node/src/crocusroad_node/exchanges/_call.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from time import monotonic
 from typing import Final, NamedTuple
 
 from crocusroad_core.gather import FailureReason
@@ -42,12 +43,11 @@
         self._pool = pool
         self._message = message
         self._loop = asyncio.get_running_loop()
-        self._deadline = deadline
         self._on_end: Callable[[Ending], None] | None = on_end
         self._link: Link | None = None
         self._sent_at: float = 0
         self._waiter: Waiter | None = None
-        self._timer = self._loop.call_at(deadline, self._expire)
+        self._timer = self._loop.call_at(deadline + LATE_SECONDS, self._expire)
         self._waiter = pool.take(self._taken, message.freshness)
 
     @property
@@ -55,10 +55,14 @@
         """Tell whether the request was sent."""
         return bool(self._sent_at)
 
-    def abandon(self) -> None:
-        """Care no more for the answer; the other end may finish its work."""
-        self._on_end = None
+    def abandon(self, on_late: Callable[[Ending], None]) -> None:
+        """Let the other end finish; `on_late` is told what comes of it.
+
+        A call that was not sent is dropped.
+        """
+        self._on_end = on_late
         if not self.is_sent:
+            self._on_end = None
             self._unwait()
 
     def kill(self) -> None:
@@ -74,14 +78,9 @@
             self._timer.cancel()
             self._tell(taken)
             return
-        now = self._loop.time()
+        now = monotonic()
         self._link = taken
         self._sent_at = now
-        self._timer.cancel()
-        self._timer = self._loop.call_at(
-            self._deadline + LATE_SECONDS,
-            self._expire,
-        )
         taken.send(
             self._message.make(now),
             self._message.request_id,
@@ -114,5 +113,5 @@
         on_end = self._on_end
         self._on_end = None
         if on_end is not None:
-            took = self._loop.time() - self._sent_at if self.is_sent else 0
+            took = monotonic() - self._sent_at if self.is_sent else 0
             on_end(Ending(outcome, took))
--- a/packages/node/src/crocusroad_node/exchanges/_pool.py
+++ b/packages/node/src/crocusroad_node/exchanges/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from time import monotonic
 from typing import Final
 
 from crocusroad_core.gather import FailureReason
@@ -61,6 +62,14 @@
         """Return how many connections are open or being opened."""
         return self._open
 
+    @property
+    def has_rested(self) -> bool:
+        """Tell whether a connection is at rest, ready to be used."""
+        if not self._idle:
+            return False
+        last = self._idle[-1]
+        return last.is_open and monotonic() < last.idle_until
+
     def take(self, on_taken: OnTaken, freshness: float | None = None) -> Waiter:
         """Take a link; `on_taken` gets it, or why there is none.
 
@@ -105,7 +114,7 @@
             task.cancel()
 
     def _rested(self, freshness: float | None) -> Link | None:
-        now = self._loop.time()
+        now = monotonic()
         while self._idle:
             link = self._idle.pop()
             is_fresh = freshness is None or now - link.used_at <= freshness
@@ -144,7 +153,7 @@
 
     async def _connect(self) -> Link:
         def build() -> Link:
-            return Link(self._loop.time, self._id_header)
+            return Link(monotonic, self._id_header)
 
         async with asyncio.timeout(OPEN_SECONDS):
             _, link = await self._loop.create_connection(build, *self._address)
--- a/packages/node/src/crocusroad_node/exchanges/_reading.py
+++ b/packages/node/src/crocusroad_node/exchanges/_reading.py
@@ -45,12 +45,12 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take a header."""
-        self._headers.append((name, text))
+        self._headers.append((name.lower(), text))
 
     def on_headers_complete(self) -> None:
         """Take the end of the headers."""
         self._is_open_ended = not any(
-            name.lower() in _FRAMING for name, _ in self._headers
+            name in _FRAMING for name, _ in self._headers
         )
         self._has_headers = True
         if self._is_head:
--- a/packages/node/src/crocusroad_node/gateway/_beliefs.py
+++ b/packages/node/src/crocusroad_node/gateway/_beliefs.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Mapping
+from time import monotonic
 
 from returns.result import Success
 
@@ -43,7 +44,7 @@
             )
             return
         table = decoded.unwrap()
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         adopted = self._directory.adopted
         former = adopted.version
         is_newer = adopted.adopt(table, now)
@@ -76,13 +77,13 @@
             if (registration := self._decode(entry)) is not None
         }
         table = self._directory.registered
-        gone = table.replace(decoded, self._loop.time())
+        gone = table.replace(decoded, monotonic())
         self._changed(gone, 'listing')
 
     def take_changes(self, entries: list[Entry]) -> None:
         """Take registrations that changed or are gone."""
         table = self._directory.registered
-        now = self._loop.time()
+        now = monotonic()
         gone: list[str] = []
         is_changed = False
         for entry in entries:
@@ -100,7 +101,7 @@
     def take_reach(self, is_reached: bool) -> None:
         """Take that the store was lost, or is back."""
         table = self._directory.registered
-        now = self._loop.time()
+        now = monotonic()
         if is_reached:
             table.on_store_back(now)
         else:
@@ -144,7 +145,7 @@
 
     def _expire(self) -> None:
         self._expiry = None
-        gone = self._directory.registered.expire(self._loop.time())
+        gone = self._directory.registered.expire(monotonic())
         if gone:
             self._changed(gone, 'not back after the outage')
         self._plan_expiry()
--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from time import monotonic
 from typing import Final, Protocol, cast
 
 import httptools
@@ -133,7 +134,7 @@
             self._target,
             tuple(self._headers),
             b''.join(self._body),
-            self._loop.time(),
+            monotonic(),
         )
         self._waiting.append((req, self._parser.should_keep_alive()))
         self._start_message()
--- a/packages/node/src/crocusroad_node/gateway/_fleet.py
+++ b/packages/node/src/crocusroad_node/gateway/_fleet.py
@@ -5,20 +5,28 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+import msgspec
 from returns.result import Result, Success
 
-from crocusroad_node.kv import Batch, KeyValue, StoreFault
+from crocusroad_core.sources import Member
+from crocusroad_node.kv import Batch, Entry, KeyValue, StoreFault
 from crocusroad_node.logs import note
 
 _logger = logging.getLogger(__name__)
 
 # An entry outlives two renewals that fail, in seconds.
-LEASE_SECONDS: Final = 12.0
-RENEW_SECONDS: Final = 4.0
+LEASE_SECONDS: Final = 18.0
+RENEW_SECONDS: Final = 6.0
 # After a fault the next try comes sooner.
 RETRY_SECONDS: Final = 1.0
 
 
+class _Home(msgspec.Struct):
+    zone: str
+    address: str  # host:port where the others ask it
+    link_mbps: float = 0
+
+
 class FleetKeyValue(KeyValue, Protocol):
     """A store that also lists cheaply."""
 
@@ -36,14 +44,14 @@
         self,
         kv: FleetKeyValue,
         prefix: str,
-        instance: str,
-        on_count: Callable[[int], None],
+        own: Member,
+        on_members: Callable[[list[Member]], None],
     ) -> None:
         self._kv = kv
         self._prefix = prefix
-        self._key = f'{prefix}{instance}'
-        self._instance = instance
-        self._on_count = on_count
+        self._key = f'{prefix}{own.name}'
+        self._own = own
+        self._on_members = on_members
         self._lease = ''
         self._count = 0
 
@@ -77,9 +85,9 @@
             return False
         known = entry.unwrap()
         expected = 0 if known is None else known.revision
-        written = await self._kv.swap(
-            self._key, self._instance, expected, lease
-        )
+        home = _Home(*self._own[1:])
+        text = msgspec.json.encode(home).decode()
+        written = await self._kv.swap(self._key, text, expected, lease)
         if not isinstance(written, Success):
             return False
         self._lease = lease
@@ -89,9 +97,25 @@
         listed = await self._kv.list_stale(self._prefix)
         if not isinstance(listed, Success):
             return False
-        count = max(1, len(listed.unwrap().entries))
-        if count != self._count:
-            note(_logger, 'instances', count=count, former=self._count)
-            self._count = count
-        self._on_count(count)
-        return True
+        found = (self._member(one) for one in listed.unwrap().entries)
+        members = [one for one in found if one is not None]
+        if len(members) != self._count:
+            note(
+                _logger,
+                'instances',
+                count=len(members),
+                former=self._count,
+            )
+            self._count = len(members)
+        self._on_members(members)
+        # A cheap listing may be older than this instance's own entry.
+        return any(one.name == self._own.name for one in members)
+
+    def _member(self, entry: Entry) -> Member | None:
+        name = entry.key.removeprefix(self._prefix)
+        try:
+            home = msgspec.json.decode(entry.value or '', type=_Home)
+        except msgspec.DecodeError as exc:
+            note(_logger, 'instance not understood', key=entry.key, error=exc)
+            return None
+        return Member(name, home.zone, home.address, home.link_mbps)
--- a/packages/node/src/crocusroad_node/gateway/_follow.py
+++ b/packages/node/src/crocusroad_node/gateway/_follow.py
@@ -3,12 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from typing import Final
+from typing import Final, Protocol
 
 from returns.result import Result, Success
 
 from crocusroad_node.counters import STORE_CALLS
-from crocusroad_node.kv import Batch, Entry, KeyValue, StoreFault
+from crocusroad_node.gateway._relay_desk import RelayDesk
+from crocusroad_node.kv import Batch, Entry, StoreFault
 from crocusroad_node.logs import note
 
 _logger = logging.getLogger(__name__)
@@ -21,17 +22,37 @@
 MOST_PAUSE: Final = 0.8
 
 
+class Followed(Protocol):
+    """What is followed: the store, or the instances that read it."""
+
+    async def list(self, prefix: str) -> Result[Batch, StoreFault]:
+        """Return every entry below a prefix; see `KeyValue`."""
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[Batch, StoreFault]:
+        """Return the changes after a revision; see `KeyValue`."""
+
+
+def _no_rest() -> float:
+    return 0
+
+
 class Follower:
     """Keeps up with the keys below a prefix, through faults of the store."""
 
     def __init__(
         self,
-        kv: KeyValue,
+        kv: Followed,
         prefix: str,
         on_listing: Callable[[Mapping[str, Entry]], None],
         on_changes: Callable[[list[Entry]], None],
         on_reach: Callable[[bool], None],
-        rest: float = 0,
+        rest: Callable[[], float] = _no_rest,
+        desk: RelayDesk | None = None,
     ) -> None:
         self._kv = kv
         self._prefix = prefix
@@ -39,6 +60,8 @@
         self._on_changes = on_changes
         self._on_reach = on_reach
         self._rest = rest  # seconds between two watches, to gather changes
+        self._desk = desk  # tells other instances
+        self._highest = 0  # revision ever seen
         self._revision: int | None = None  # None: list anew
         self._pause = LEAST_PAUSE
         self._is_reached = True
@@ -49,7 +72,7 @@
             fault = await self._step()
             if fault is None:
                 self._pause = LEAST_PAUSE
-                await asyncio.sleep(self._rest)
+                await asyncio.sleep(self._rest())
             elif fault is not StoreFault.compacted:
                 await asyncio.sleep(self._pause)
                 self._pause = min(MOST_PAUSE, self._pause * 2)
@@ -73,12 +96,21 @@
             return fault
         STORE_CALLS.labels(self._prefix, 'answered').inc()
         self._reach(is_reached=True, fault='')
-        batch = reply.unwrap()
-        if self._revision is None:
+        return self._take_batch(reply.unwrap())
+
+    def _take_batch(self, batch: Batch) -> StoreFault | None:
+        is_listing = self._revision is None
+        if is_listing and batch.revision < self._highest:
+            # A source that is behind what was seen is not gone back to.
+            return StoreFault.unavailable
+        if self._desk is not None:
+            self._desk.take(self._prefix, batch, is_listing=is_listing)
+        if is_listing:
             self._on_listing({one.key: one for one in batch.entries})
         elif batch.entries:
             self._on_changes(batch.entries)
-        self._revision = batch.revision
+        self._highest = max(self._highest, batch.revision)
+        self._revision = self._highest
         return None
 
     def _take_fault(self, fault: StoreFault) -> None:
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
-from crocusroad_core.gather import Finish, Gather, Outcome
+from crocusroad_core.gather import Finish, Gather, Outcome, Punctuality
 from crocusroad_core.repeats import RepeatBudget
 from crocusroad_core.routes import Route, WeightedTurns
 from crocusroad_node.counters import OUTCOMES
@@ -36,6 +36,9 @@
 # meanwhile would leave open whether it ran.
 FRESH_SECONDS: Final = 1.0
 
+# An answer later than this was not held up by the instance, in seconds.
+MOST_MARGIN: Final = 0.05
+
 Answer = Callable[[Reply], None]
 
 
@@ -61,6 +64,7 @@
         self.in_flight = 0
         self._parts = parts
         self._clock = clock
+        self._punctual: dict[bool, Punctuality] = {}  # by whether it fans out
         names = parts.dialect.headers
         self._internal = frozenset((names.load, names.expected_replica))
 
@@ -93,17 +97,28 @@
             parts.budget.earn(shard)
         header = parts.dialect.headers.deadline
         times = Times(req.received_at, deadline_of(req, route, header))
-        plan = plan_for(target, parts.directory, times)
+        punctual = self._punctuality(route)
+        plan = plan_for(target, parts.directory, times, punctual.margin)
         query = Query(
             Gather(plan, parts.policies.policy_for(route)),
             self._task(req, route),
             parts.reach,
-            lambda finish: self._finish(req, target, query, finish, answer),
+            lambda finish: self._finish(
+                req,
+                target,
+                query,
+                finish,
+                answer,
+                plan.answer_by,
+            ),
         )
         self.in_flight += 1
         query.begin()
         return lambda: self._left(req, target, query)
 
+    def _punctuality(self, route: Route) -> Punctuality:
+        return self._punctual.setdefault(route.is_fan_out, Punctuality())
+
     def _task(self, req: CallerRequest, route: Route) -> Task:
         dialect = self._parts.dialect
         return Task(
@@ -125,10 +140,15 @@
         query: Query,
         finish: Finish,
         answer: Answer,
+        due: float,
     ) -> None:
         self.in_flight -= 1
         OUTCOMES.labels(finish.outcome.value).inc()
         reply = self._reply(target, query, finish)
+        answer(reply)
+        late = self._clock() - due
+        if 0 <= late < MOST_MARGIN:
+            self._punctuality(target.route).record(late)
         report(
             req,
             self._id(req),
@@ -142,7 +162,6 @@
             took_ms=round((self._clock() - req.received_at) * 1000, 1),
             attempts=query.traces,
         )
-        answer(reply)
 
     def _reply(self, target: Target, query: Query, finish: Finish) -> Reply:
         if finish.outcome is Outcome.answered:
--- a/packages/node/src/crocusroad_node/gateway/_plans.py
+++ b/packages/node/src/crocusroad_node/gateway/_plans.py
@@ -33,11 +33,16 @@
     return req.received_at + allowed - WAY_BACK_SECONDS
 
 
-def plan_for(target: Target, directory: Directory, req_times: 'Times') -> Plan:
+def plan_for(
+    target: Target,
+    directory: Directory,
+    req_times: 'Times',
+    margin: float,
+) -> Plan:
     """Return the plan of a request over the shards of one configuration."""
     route = target.route
     shards = {name: directory.replicas(name) for name in target.shards}
-    answer_by = req_times.received + route.objective - WAY_BACK_SECONDS
+    answer_by = req_times.received + route.objective - margin
     return Plan(
         shard_map=ShardMap(target.table.version, shards),
         limit=route.top,
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from time import monotonic
 from typing import NamedTuple
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather import (
     Attempt,
+    AttemptRole,
     Cancel,
     Command,
     FailureReason,
@@ -61,6 +63,8 @@
     seconds: float  # from its sending
 
 
+# A timer that is later than this was held up by the instance itself.
+LATE_TICK_SECONDS = 0.008
 MAX_TRACES = 12  # of one request that are kept
 
 
@@ -89,7 +93,7 @@
 
     def begin(self) -> None:
         """Send the first attempts."""
-        self._carry_out(self._gather.begin(self._loop.time()))
+        self._carry_out(self._gather.begin(monotonic()))
 
     def stop(self) -> None:
         """Stop the work everywhere: the caller has left."""
@@ -111,9 +115,9 @@
 
     def _send(self, attempt: Attempt, deadline: float) -> None:
         replica = attempt.replica
-        ATTEMPTS.labels(attempt.role.value).inc()
+        _SENT[attempt.role].inc()
         self.sent += 1
-        self._reach.router.on_sent(replica, self._loop.time())
+        self._reach.router.on_sent(replica, monotonic())
 
         def make(now: float) -> bytes:
             return self._task.encode(replica, deadline, now)
@@ -136,17 +140,27 @@
         call = self._calls.pop(attempt.serial, None)
         if call is None:
             return
-        now = self._loop.time()
+        now = monotonic()
         took = now - attempt.sent_at
         self._trace(attempt, 'given up', took)
+        replica = attempt.replica
         router = self._reach.router
-        router.on_lost(attempt.replica, FailureReason.cancelled, took, now)
-        call.abandon()
+        if not call.is_sent:
+            router.on_lost(replica, FailureReason.no_connection, 0, now)
+            call.abandon(_ignore)
+            return
+        router.on_abandoned(replica, took, now)
+        call.abandon(lambda ending: self._late(replica, ending))
+
+    def _late(self, replica: Replica, ending: Ending) -> None:
+        now = monotonic()
+        is_answered = isinstance(ending.outcome, Response)
+        self._reach.router.on_late(replica, now, is_answered=is_answered)
 
     def _ended(self, attempt: Attempt, ending: Ending) -> None:
         if self._calls.pop(attempt.serial, None) is None:
             return
-        now = self._loop.time()
+        now = monotonic()
         outcome = ending.outcome
         if isinstance(outcome, FailureReason):
             self._lose(attempt, outcome, ending.seconds, now)
@@ -220,7 +234,16 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._carry_out(self._gather.on_tick(self._loop.time()))
+        if monotonic() - self._wake_at > LATE_TICK_SECONDS:
+            # Answers may lie unread: they are taken before more is asked.
+            self._loop.call_soon(self._act)
+        else:
+            self._act()
+
+    def _act(self) -> None:
+        if self._on_finish is None:
+            return
+        self._carry_out(self._gather.on_tick(monotonic()))
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -228,4 +251,9 @@
             self._timer = None
 
 
+def _ignore(ending: Ending) -> None:
+    """Care for nothing: the call was not sent."""
+
+
+_SENT = {role: ATTEMPTS.labels(role.value) for role in AttemptRole}
 _OWN_FAILURES = frozenset((FailureReason.failed, FailureReason.cancelled))
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_sourced.py
@@ -0,0 +1,117 @@
+"""The store, asked through the instances that read it."""
+
+import asyncio
+import logging
+import zlib
+from time import monotonic
+from typing import Final
+from urllib.parse import quote, urlencode
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from crocusroad_core.sources import Member, SourceRing
+from crocusroad_node.counters import STORE_CALLS
+from crocusroad_node.gateway._relay_desk import LIST, RELAY_PATH, RelayBatch
+from crocusroad_node.gateway._store_http import StoreHttp
+from crocusroad_node.kv import Batch, KeyValue, StoreFault
+from crocusroad_node.logs import note
+
+_logger = logging.getLogger(__name__)
+
+# An instance that is asked for changes answers this soon at the latest, in
+# seconds; one that is silent for longer than the slack is given up, early
+# enough for another to be asked within the bound on leaving replicas.
+RELAY_WAIT: Final = 1.0
+RELAY_SLACK: Final = 0.5
+_decoder = msgspec.json.Decoder(RelayBatch)
+
+
+class SourcedStore:
+    """Lists and watches through the ring of sources, else at the store."""
+
+    def __init__(self, kv: KeyValue, ring: SourceRing) -> None:
+        self._kv = kv
+        self._ring = ring
+        self._loop = asyncio.get_running_loop()
+        self._links: dict[str, StoreHttp] = {}  # by address
+
+    async def list(self, prefix: str) -> Result[Batch, StoreFault]:
+        """Return every entry below a prefix; see `KeyValue`."""
+        relayed = await self._relayed(prefix, LIST, 0)
+        if relayed is not None:
+            return relayed
+        return await self._kv.list(prefix)
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[Batch, StoreFault]:
+        """Return the changes after a revision; see `KeyValue`."""
+        relayed = await self._relayed(prefix, after, min(wait, RELAY_WAIT))
+        if relayed is not None:
+            return relayed
+        return await self._kv.watch(prefix, after, wait)
+
+    async def _relayed(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[Batch, StoreFault] | None:
+        """Ask one source after the other; None if none answers."""
+        for source in self._ring.sources(monotonic()):
+            reply = await self._ask(source, prefix, after, wait)
+            if isinstance(reply, Success):
+                STORE_CALLS.labels(prefix, 'relayed').inc()
+                return reply
+            fault = reply.failure()
+            if fault is StoreFault.compacted:
+                return reply
+            note(
+                _logger,
+                'source given up',
+                source=source.name,
+                prefix=prefix,
+                fault=fault.value,
+            )
+            self._ring.on_fault(source, monotonic())
+        return None
+
+    async def _ask(
+        self,
+        source: Member,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[Batch, StoreFault]:
+        query = urlencode(
+            {'prefix': prefix, 'after': after, 'wait': wait},
+            safe='/',
+            quote_via=quote,
+        )
+        reply = await self._link(source).exchange(
+            'GET',
+            f'{RELAY_PATH}?{query}',
+            b'',
+            wait + RELAY_SLACK,
+        )
+        if not isinstance(reply, Success):
+            return Failure(reply.failure())
+        response = reply.unwrap()
+        if response.status == 410:
+            return Failure(StoreFault.compacted)
+        if response.status != 200:
+            return Failure(StoreFault.unavailable)
+        batch = _decoder.decode(zlib.decompress(response.body))
+        return Success(Batch(batch.revision, batch.entries, batch.age))
+
+    def _link(self, source: Member) -> StoreHttp:
+        link = self._links.get(source.address)
+        if link is None:
+            host, _, port = source.address.rpartition(':')
+            link = StoreHttp((host, int(port)))
+            self._links[source.address] = link
+        return link
--- a/packages/node/src/crocusroad_node/gateway/_store_http.py
+++ b/packages/node/src/crocusroad_node/gateway/_store_http.py
@@ -1,6 +1,7 @@
 """Calls to the store over kept connections."""
 
 import asyncio
+from time import monotonic
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -40,7 +41,7 @@
         call = Call(
             self._pool,
             Message(lambda now: raw, _NO_ID),
-            loop.time() + seconds,
+            monotonic() + seconds,
             lambda ending: None if done.done() else done.set_result(ending),
         )
         try:
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable
 from random import Random
+from time import monotonic
 from typing import Final, NamedTuple
 
 from crocusroad_core.discovery import ReplicaTable
@@ -11,18 +12,21 @@
 from crocusroad_core.repeats import RepeatBounds, RepeatBudget
 from crocusroad_core.routes import AdoptedTable, RequestLimits, WeightedTurns
 from crocusroad_core.routing import Router
+from crocusroad_core.sources import Member, SourceRing
 from crocusroad_node.exchanges import LinkPool
 from crocusroad_node.gateway._beliefs import ConfigBelief, ReplicaBelief
 from crocusroad_node.gateway._connection import Begin, CallerConnection
 from crocusroad_node.gateway._dialect import Dialect
 from crocusroad_node.gateway._directory import Directory
 from crocusroad_node.gateway._fleet import Fleet, FleetKeyValue
-from crocusroad_node.gateway._follow import Follower
+from crocusroad_node.gateway._follow import Followed, Follower
 from crocusroad_node.gateway._gateway import Gateway, Parts
 from crocusroad_node.gateway._policies import Policies
 from crocusroad_node.gateway._query import Reach
+from crocusroad_node.gateway._relay_desk import RelayDesk
 from crocusroad_node.gateway._reply import Reply, refuse
 from crocusroad_node.gateway._request import CallerRequest
+from crocusroad_node.gateway._sourced import SourcedStore
 from crocusroad_node.node_life import NodeLife
 
 # The balancer notices an instance that is not ready after two questions, one
@@ -33,6 +37,8 @@
 # Changes of registrations are gathered this long, in seconds.
 GATHER_SECONDS: Final = 0.8
 TICK_SECONDS: Final = 0.05
+# A handshake, and a round trip between zones, before a request can be sent.
+OPENING_SECONDS: Final = 0.012
 BACKLOG: Final = 1024  # connections that wait to be accepted
 
 
@@ -42,7 +48,9 @@
     instance: str
     zone: str
     callers_listen: tuple[str, int]
+    relay_listen: tuple[str, int]  # where other instances ask this one
     ready_listen: tuple[str, int]
+    link_mbps: float  # of this instance's own link
     grace: float  # seconds from SIGTERM to SIGKILL
     repeats: RepeatBounds
 
@@ -76,22 +84,33 @@
     loop = asyncio.get_running_loop()
     random = Random()  # noqa: S311
     life = NodeLife()
-    router = Router(cfg.zone, random.random)
     budget = RepeatBudget(cfg.repeats)
-    directory = Directory(AdoptedTable(), ReplicaTable(), router, loop.time)
-    policies = Policies(router, budget)
-    shares = _Shares(budget, router)
+    shares = _Shares(budget)
     pools = _Pools(dialect.headers.request_id, shares)
+    router = Router(cfg.zone, random.random, pools.opening_cost)
+    shares.router = router
+    directory = Directory(AdoptedTable(), ReplicaTable(), router, monotonic)
+    policies = Policies(router, budget)
     reach = Reach(dialect.headers, router, pools.pool, policies.record)
     turns = WeightedTurns(random.random)
     parts = Parts(dialect, directory, reach, policies, budget, turns)
-    gateway = Gateway(parts, loop.time)
+    gateway = Gateway(parts, monotonic)
     door = Door(directory, life)
     ready_door = Door(directory, life)
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, life.drain)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    own = Member(
+        cfg.instance,
+        cfg.zone,
+        '{}:{}'.format(*cfg.relay_listen),
+        cfg.link_mbps,
+    )
+    ring = SourceRing(own)
+    desk = RelayDesk()
+    sourced = SourcedStore(kv, ring)
     servers = [
+        await _listen(cfg.relay_listen, ready_door, desk.begin),
         await _listen(cfg.callers_listen, door, gateway.begin),
         await _listen(
             cfg.ready_listen,
@@ -99,12 +118,17 @@
             _readiness(dialect, directory, life),
         ),
     ]
-    fleet = Fleet(kv, dialect.instances_prefix, cfg.instance, shares.on_count)
+
+    def on_members(members: list[Member]) -> None:
+        ring.on_members(members)
+        shares.on_count(ring.count)
+
+    fleet = Fleet(kv, dialect.instances_prefix, own, on_members)
     tasks = [
         loop.create_task(one)
         for one in (
-            _config_follower(kv, directory, dialect).run(),
-            _replica_follower(kv, directory, dialect).run(),
+            _config_follower(sourced, directory, dialect, desk).run(),
+            _replica_follower(sourced, directory, dialect, desk, ring).run(),
             fleet.run(),
             _serve_when_known(directory, life),
         )
@@ -121,15 +145,16 @@
 class _Shares:
     """What depends on how many instances there are."""
 
-    def __init__(self, budget: RepeatBudget, router: Router) -> None:
+    def __init__(self, budget: RepeatBudget) -> None:
         self._budget = budget
-        self._router = router
+        self.router: Router | None = None
         self.count = 8  # until the first count
 
     def on_count(self, count: int) -> None:
         self.count = count
         self._budget.on_instances(count)
-        self._router.on_instances(count, 0)
+        if self.router is not None:
+            self.router.on_instances(count, monotonic())
 
 
 class _Pools:
@@ -140,6 +165,12 @@
         self._shares = shares
         self._pools: dict[str, LinkPool] = {}
 
+    def opening_cost(self, replica: Replica) -> float:
+        """Return the seconds that a request waits for a connection."""
+        pool = self._pools.get(replica.address)
+        is_at_hand = pool is not None and pool.has_rested
+        return 0 if is_at_hand else OPENING_SECONDS
+
     def pool(self, replica: Replica) -> LinkPool:
         pool = self._pools.get(replica.address)
         if pool is None:
@@ -155,9 +186,10 @@
 
 
 def _config_follower(
-    kv: FleetKeyValue,
+    kv: Followed,
     directory: Directory,
     dialect: Dialect,
+    desk: RelayDesk,
 ) -> Follower:
     belief = ConfigBelief(directory, dialect)
     return Follower(
@@ -166,13 +198,16 @@
         belief.take_listing,
         belief.take_changes,
         lambda is_reached: None,
+        desk=desk,
     )
 
 
 def _replica_follower(
-    kv: FleetKeyValue,
+    kv: Followed,
     directory: Directory,
     dialect: Dialect,
+    desk: RelayDesk,
+    ring: SourceRing,
 ) -> Follower:
     belief = ReplicaBelief(directory, dialect)
     return Follower(
@@ -181,7 +216,8 @@
         belief.take_listing,
         belief.take_changes,
         belief.take_reach,
-        rest=GATHER_SECONDS,
+        rest=lambda: GATHER_SECONDS if ring.is_reader else 0,
+        desk=desk,
     )
 
 
--- a/packages/node/src/crocusroad_node/kv/__init__.py
+++ b/packages/node/src/crocusroad_node/kv/__init__.py
@@ -1,6 +1,7 @@
 """The key-value service as the node asks for it, whoever provides it."""
 
-from crocusroad_node.kv._entry import Batch, Entry
+from crocusroad_core.kv import Entry
+from crocusroad_node.kv._entry import Batch
 from crocusroad_node.kv._fault import StoreFault
 from crocusroad_node.kv._port import KeyValue
 
--- a/packages/node/src/crocusroad_node/kv/_entry.py
+++ b/packages/node/src/crocusroad_node/kv/_entry.py
@@ -1,14 +1,8 @@
-"""What the KV holds."""
+"""What the KV answers."""
 
 from typing import NamedTuple
 
-
-class Entry(NamedTuple):
-    """One key of the KV."""
-
-    key: str
-    value: str | None  # None: the key was deleted
-    revision: int  # of the store, at the last change of the key
+from crocusroad_core.kv import Entry
 
 
 class Batch(NamedTuple):
@@ -16,3 +10,4 @@
 
     revision: int
     entries: list[Entry]
+    age: float = 0  # seconds since the store itself said so
--- a/packages/platform/src/crocusroad_platform/_node_settings.py
+++ b/packages/platform/src/crocusroad_platform/_node_settings.py
@@ -36,12 +36,17 @@
     lease_ms: float = msgspec.field(name='MinTtlMs', default=1000)
 
 
+class _Machine(msgspec.Struct):
+    link_mbps: float = msgspec.field(name='LinkMbps', default=0)
+
+
 class _File(msgspec.Struct):
     node: str = msgspec.field(name='NodeName')
     ip: str = msgspec.field(name='Ip')
     zone: str = msgspec.field(name='Zone')
     listen: _Listen = msgspec.field(name='Listen')
     ports: tuple[int, int] = msgspec.field(name='PortRange')
+    machine: _Machine = msgspec.field(name='Limits')
     bounds: _Bounds = msgspec.field(name='Bounds')
     platform: _Store
 
@@ -55,6 +60,7 @@
     callers_listen: tuple[str, int]
     ready_listen: tuple[str, int]
     free_ports: tuple[int, int]  # first and last, for the instances' own use
+    link_mbps: float  # of the machine's own link
     store: tuple[str, int]
     least_lease: float  # seconds
     drain: float  # seconds until a leaving replica gets nothing more
@@ -93,6 +99,7 @@
         callers_listen=parse_address(file.listen.front),
         ready_listen=parse_address(file.listen.ready),
         free_ports=file.ports,
+        link_mbps=file.machine.link_mbps,
         store=parse_address(file.platform.address),
         least_lease=file.platform.lease_ms / MS_PER_SECOND,
         drain=bounds.drain_ms / MS_PER_SECOND,
--- a/packages/platform/src/crocusroad_platform/main.py
+++ b/packages/platform/src/crocusroad_platform/main.py
@@ -36,7 +36,9 @@
         instance=cfg.instance,
         zone=cfg.zone,
         callers_listen=cfg.callers_listen,
+        relay_listen=(cfg.ip, cfg.free_ports[0]),
         ready_listen=cfg.ready_listen,
+        link_mbps=cfg.link_mbps,
         grace=cfg.grace,
         repeats=cfg.repeats,
     )
