Prove the gateway by properties, raw sockets and real processes

Found by the new tests: a head that came whole was not measured against its limit (431); an address taken over by another service was asked again and again (421), which emptied the budget of repeats; log lines held attempts as bare lists.

--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -78,7 +78,9 @@
     services = {name: Service(name, '/health', 100) for name in names}
     table = RouteTable(1, [route], services, RequestLimits())
     router = Router('a', Random(1).random)
-    directory = Directory(AdoptedTable(), ReplicaTable(), router, loop.time)
+    directory = Directory(
+        AdoptedTable(), ReplicaTable(), router, lambda known: None, loop.time
+    )
     directory.adopted.adopt(table, 0)
     for number, name in enumerate(names):
         address = f'127.0.0.1:{FIRST_PORT + number}'
--- a/packages/core/src/crocusroad_core/discovery/_replica_table.py
+++ b/packages/core/src/crocusroad_core/discovery/_replica_table.py
@@ -36,6 +36,11 @@
         """Return how many are used though their registration lapsed."""
         return len(self._held)
 
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Return the addresses of all replicas, also of those that leave."""
+        return frozenset(one.address for one in self._known.values())
+
     def replicas(self, service: str) -> tuple[Registration, ...]:
         """Return the replicas of a service that take new work."""
         found = self._services.get(service)
--- a/packages/core/src/crocusroad_core/repeats/_budget.py
+++ b/packages/core/src/crocusroad_core/repeats/_budget.py
@@ -41,6 +41,10 @@
         """Take the number of instances that share the slack."""
         self._instances = max(LEAST_INSTANCES, count)
 
+    def on_bounds(self, bounds: RepeatBounds) -> None:
+        """Take other bounds."""
+        self._bounds = bounds
+
     def earn(self, service: str) -> None:
         """Count a request for a service."""
         saved = self._tokens.get(service, self.part / 2)
--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -24,6 +24,7 @@
         FailureReason.garbled,
         FailureReason.crossed,
         FailureReason.failed,
+        FailureReason.not_here,
     ),
 )
 # Seconds without work after a refusal for want of room.
--- a/packages/node/src/crocusroad_node/callers/_app.py
+++ b/packages/node/src/crocusroad_node/callers/_app.py
@@ -2,6 +2,8 @@
 
 import time
 import uuid
+from collections.abc import Coroutine
+from typing import Any, Final
 
 from prometheus_client import generate_latest
 from returns.result import Result, Success
@@ -35,6 +37,14 @@
 STATUS_UNREADY = 503
 HEADER_KEY = 'idempotency-key'
 JSON = 'application/json'
+UNCHECKED: Final = '-'  # label of a name that no operator declared
+_UNFOUND: Final = frozenset(
+    (
+        ProblemKind.unknown_front,
+        ProblemKind.unauthorized,
+        ProblemKind.unknown_kind,
+    ),
+)
 
 
 def build_caller_app(
@@ -84,11 +94,7 @@
         bearer_digest(req),
         body,
     )
-    started = time.perf_counter()
-    with IN_FLIGHT.track_inprogress():
-        outcome = await run_unless_hung_up(req, service.search(call))
-    SECONDS.labels(body['kind']).observe(time.perf_counter() - started)
-    return _respond(call, outcome)
+    return await _run(req, call, service.search(call))
 
 
 async def _act(service: ActionService, req: Request) -> Response:
@@ -105,20 +111,45 @@
         req.headers.get(HEADER_KEY, ''),
         body,
     )
+    return await _run(req, call, service.act(call))
+
+
+async def _run(
+    req: Request,
+    call: SearchCall | ActionCall,
+    work: Coroutine[Any, Any, Result[Answer, Refusal]],
+) -> Response:
     started = time.perf_counter()
     with IN_FLIGHT.track_inprogress():
-        outcome = await run_unless_hung_up(req, service.act(call))
-    SECONDS.labels(body['kind']).observe(time.perf_counter() - started)
-    return _respond(call, outcome)
+        outcome = await run_unless_hung_up(req, work)
+    took = time.perf_counter() - started
+    front, kind = _checked_labels(call, outcome)
+    SECONDS.labels(kind).observe(took)
+    return _respond(call, outcome, front, kind)
+
+
+def _checked_labels(
+    call: SearchCall | ActionCall,
+    outcome: Result[Answer, Refusal] | None,
+) -> tuple[str, str]:
+    """Return front and kind as labels; only names that were found are.
+
+    A caller may send any name, and each label value stays for good.
+    """
+    if outcome is None:
+        return UNCHECKED, UNCHECKED
+    if not isinstance(outcome, Success) and outcome.failure().kind in _UNFOUND:
+        return UNCHECKED, UNCHECKED
+    return call.front, call.request['kind']
 
 
 def _respond(
     call: SearchCall | ActionCall,
     outcome: Result[Answer, Refusal] | None,
+    front: str,
+    kind: str,
 ) -> Response:
     label = REQUESTS.labels
-    front = call.front
-    kind = call.request['kind']
     if outcome is None:
         label(front, kind, 'hung-up').inc()
         return Response(status_code=STATUS_HUNG_UP)
--- a/packages/node/src/crocusroad_node/exchanges/_pool.py
+++ b/packages/node/src/crocusroad_node/exchanges/_pool.py
@@ -55,7 +55,7 @@
         self._waiters: deque[Waiter] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._open = 0  # connections open or being opened
-        self._opening = 0
+        self._is_closed = False
 
     @property
     def open_count(self) -> int:
@@ -90,6 +90,8 @@
 
     def release(self, link: Link) -> None:
         """Give a link back."""
+        if self._is_closed:
+            link.close()
         if not link.is_open:
             self._forget()
             return
@@ -106,6 +108,7 @@
 
     def close(self) -> None:
         """Close what is at rest and refuse those who wait."""
+        self._is_closed = True
         while self._idle:
             self._idle.pop().close()
         while self._waiters:
@@ -132,7 +135,6 @@
 
     def _start_opening(self) -> None:
         self._open += 1
-        self._opening += 1
         task = self._loop.create_task(self._open_one())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -148,7 +150,6 @@
             self._on_unopened(FailureReason.connect_refused)
         else:
             LINKS.labels('opened').inc()
-            self._opening -= 1
             self.release(link)
 
     async def _connect(self) -> Link:
@@ -161,7 +162,6 @@
 
     def _on_unopened(self, reason: FailureReason) -> None:
         self._open -= 1
-        self._opening -= 1
         waiter = self._next_waiter()
         if waiter is not None:
             waiter.give(reason)
--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -110,6 +110,10 @@
         self._has_head = True
         if not self._is_busy:
             self._set_timer(self._host.limits.idle_seconds, self._slow)
+        size = sum(len(name) + len(text) for name, text in self._headers)
+        if size + len(self._target) > self._host.limits.header_bytes:
+            self._fault = 431
+            raise ValueError('headers too large')
         names = [name.lower() for name, _ in self._headers]
         if names.count(b'host') != 1 or names.count(b'content-length') > 1:
             self._fault = 400
--- a/packages/node/src/crocusroad_node/gateway/_directory.py
+++ b/packages/node/src/crocusroad_node/gateway/_directory.py
@@ -16,11 +16,13 @@
         adopted: AdoptedTable,
         registered: ReplicaTable,
         router: Router,
+        retain: Callable[[frozenset[str]], None],
         clock: Callable[[], float],
     ) -> None:
         self.adopted = adopted
         self.registered = registered
         self._router = router
+        self._retain = retain  # told of the addresses that are known
         self._clock = clock
         self._candidates: dict[str, tuple[Replica, ...]] = {}
 
@@ -45,6 +47,7 @@
     def refresh(self) -> None:
         """Take what changed in the table of routes or of replicas."""
         self._candidates.clear()
+        self._retain(self.registered.addresses)
 
     def _build(self, service: str) -> tuple[Replica, ...]:
         table = self.adopted.table
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -8,7 +8,7 @@
 from crocusroad_core.gather import Finish, Gather, Outcome, Punctuality
 from crocusroad_core.repeats import RepeatBudget
 from crocusroad_core.routes import Route, WeightedTurns
-from crocusroad_node.counters import OUTCOMES
+from crocusroad_node.counters import OUTCOMES, REFUSALS, SECONDS
 from crocusroad_node.gateway._dialect import Dialect
 from crocusroad_node.gateway._directory import Directory
 from crocusroad_node.gateway._heads import encoder
@@ -72,14 +72,22 @@
         """Begin the work on a request; return what stops it."""
         table = self._parts.directory.table
         if table is None:
+            REFUSALS.labels('no-configuration').inc()
+            report(req, self._id(req), version=0, outcome='no configuration')
             answer(refuse(503, 'no configuration is known', UNKNOWN_SECONDS))
             return _nothing
+        version = table.version
         route = table.find(req.host, req.path)
         if route is None:
-            report(req, self._id(req), version=table.version, outcome='404')
+            REFUSALS.labels('no-route').inc()
+            report(
+                req, self._id(req), version=table.version, outcome='no route'
+            )
             answer(refuse(404, 'no route'))
             return _nothing
         if not self._id(req):
+            REFUSALS.labels('no-id').inc()
+            report(req, b'', version=version, outcome='no id')
             answer(refuse(400, 'the request has no id'))
             return _nothing
         shards = route.shards or (self._parts.turns.next_service(route),)
@@ -144,6 +152,8 @@
     ) -> None:
         self.in_flight -= 1
         OUTCOMES.labels(finish.outcome.value).inc()
+        kind = 'fan-out' if target.route.is_fan_out else 'one-replica'
+        SECONDS.labels(kind).observe(self._clock() - req.received_at)
         reply = self._reply(target, query, finish)
         answer(reply)
         late = self._clock() - due
@@ -160,7 +170,7 @@
             answered=len(query.answers),
             sent=query.sent,
             took_ms=round((self._clock() - req.received_at) * 1000, 1),
-            attempts=query.traces,
+            attempts=[one._asdict() for one in query.traces],
         )
 
     def _reply(self, target: Target, query: Query, finish: Finish) -> Reply:
@@ -170,9 +180,11 @@
             only = next(iter(query.answers.values()))
             return pass_on(only, self._internal)
         if not finish.may_have_run:
+            REFUSALS.labels('no-replica').inc()
             return refuse(503, 'no replica could run it', BUSY_SECONDS)
         if query.failure is not None and not target.route.is_fan_out:
             return pass_on(query.failure, self._internal)
+        REFUSALS.labels(finish.outcome.value).inc()
         if finish.outcome is Outcome.expired:
             return refuse(504, 'not answered in time')
         return refuse(502, 'replicas failed')
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -218,7 +218,7 @@
         if len(self.traces) < MAX_TRACES:
             replica = attempt.replica.name
             role = attempt.role.value
-            trace = Trace(attempt.shard, replica, role, outcome, took)
+            trace = Trace(attempt.shard, replica, role, outcome, round(took, 4))
             self.traces.append(trace)
 
     def _set_timer(self) -> None:
--- a/packages/node/src/crocusroad_node/logs.py
+++ b/packages/node/src/crocusroad_node/logs.py
@@ -3,7 +3,6 @@
 import logging
 import sys
 from datetime import UTC, datetime
-from typing import TextIO
 
 from crocusroad_wire import encode_json_text
 
@@ -14,10 +13,14 @@
     layout: str,
     level: str,
     instance: str,
-    stream: TextIO = sys.stderr,
+    handler: logging.Handler | None = None,
 ) -> None:
-    """Send log records to a stream as JSON lines or as text."""
-    handler = logging.StreamHandler(stream)
+    """Send log records to a handler as JSON lines or as text.
+
+    Without a handler they go to standard error.
+    """
+    if handler is None:
+        handler = logging.StreamHandler(sys.stderr)
     formatter = _JsonFormatter(instance)
     if layout == 'text':
         formatter = _TextFormatter(instance)
@@ -51,12 +54,11 @@
         }
         fields |= getattr(record, _EXTRA, {})
         if record.exc_info:
-            fields['error'] = self.formatException(record.exc_info)
+            fields['exception'] = self.formatException(record.exc_info)
         return fields
 
     def _join(self, fields: dict[str, object]) -> str:
-        texts = {key: str(word) for key, word in fields.items()}
-        return encode_json_text(texts)
+        return encode_json_text(fields)
 
 
 class _TextFormatter(_JsonFormatter):
--- a/packages/platform/src/crocusroad_platform/main.py
+++ b/packages/platform/src/crocusroad_platform/main.py
@@ -4,9 +4,11 @@
 import sys
 
 import uvloop
+from returns.result import Failure, Result, Success
 
 from crocusroad_node.gateway import StoreHttp
-from crocusroad_node.gateway_root import GatewaySettings, run_gateway
+from crocusroad_node.gateway_root import GatewaySettings, Outside, run_gateway
+from crocusroad_node.line_writer import LineWriter
 from crocusroad_node.logs import configure_logs
 from crocusroad_platform._dialect import DIALECT
 from crocusroad_platform._fleet_store import FleetStore
@@ -18,6 +20,7 @@
 )
 
 EXIT_BAD_SETTINGS = 78  # EX_CONFIG of sysexits.h
+METRICS_PORT = 9464  # named in deploy/system.toml; usual for such a page
 
 
 def main() -> None:
@@ -25,21 +28,36 @@
     try:
         cfg = read_settings(settings_path())
     except SettingsError as exc:
-        sys.exit(f'{exc}')
-    configure_logs('json', 'info', cfg.instance, sys.stdout)
+        sys.stderr.write(f'{exc}\n')
+        sys.exit(EXIT_BAD_SETTINGS)
+    writer = LineWriter(sys.stdout.fileno())
+    configure_logs('json', 'info', cfg.instance, writer)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_run(cfg))
 
 
 async def _run(cfg: NodeSettings) -> None:
-    settings = GatewaySettings(
+    store = FleetStore(StoreHttp(cfg.store))
+    outside = Outside(DIALECT, store, _reread)
+    await run_gateway(_gateway_settings(cfg), outside)
+
+
+def _reread() -> Result[GatewaySettings, str]:
+    try:
+        return Success(_gateway_settings(read_settings(settings_path())))
+    except SettingsError as exc:
+        return Failure(str(exc))
+
+
+def _gateway_settings(cfg: NodeSettings) -> GatewaySettings:
+    return GatewaySettings(
         instance=cfg.instance,
         zone=cfg.zone,
         callers_listen=cfg.callers_listen,
-        relay_listen=(cfg.ip, cfg.free_ports[0]),
         ready_listen=cfg.ready_listen,
+        relay_listen=(cfg.ip, cfg.free_ports[0]),
+        metrics_listen=(cfg.ip, METRICS_PORT),
         link_mbps=cfg.link_mbps,
         grace=cfg.grace,
         repeats=cfg.repeats,
     )
-    await run_gateway(settings, DIALECT, FleetStore(StoreHttp(cfg.store)))
--- a/packages/wire/src/crocusroad_wire/_codec.py
+++ b/packages/wire/src/crocusroad_wire/_codec.py
@@ -9,6 +9,7 @@
 DecodeError = msgspec.DecodeError
 
 _encoder = msgspec.json.Encoder()
+_text_encoder = msgspec.json.Encoder(enc_hook=str)
 
 
 def encode_json(message: object) -> bytes:
@@ -17,8 +18,8 @@
 
 
 def encode_json_text(message: object) -> str:
-    """Return the JSON text of a message."""
-    return _encoder.encode(message).decode()
+    """Return the JSON text of a message; other types become their text."""
+    return _text_encoder.encode(message).decode()
 
 
 def decode_json(kind: type[T], raw: bytes) -> T:
--- /dev/null
+++ b/tests/features/fleet.feature
@@ -0,0 +1,70 @@
+Feature: What an instance of a fleet believes
+  Routes, replicas, readers of the store and the budget of repeats, each
+  checked against a plain account of the same history.
+
+  Scenario Outline: The property <name> holds for any history
+    Then the fleet property "<name>" holds
+
+    Examples:
+      | name                                      |
+      | longest_prefix_wins                       |
+      | configuration_never_goes_back             |
+      | turns_follow_weights                      |
+      | lapsed_replicas_are_held_until_the_return |
+      | repeats_stay_in_bounds                    |
+      | instances_agree_on_readers                |
+      | followers_of_a_copy_see_the_store         |
+
+  Scenario Outline: A known-bad <variant> is caught by <name>
+    Then the fleet property "<name>" fails for the variant "<variant>"
+
+    Examples:
+      | name                                      | variant            |
+      | configuration_never_goes_back             | adopts-anything    |
+      | lapsed_replicas_are_held_until_the_return | drops-at-once      |
+      | lapsed_replicas_are_held_until_the_return | holds-for-ever     |
+      | repeats_stay_in_bounds                    | budget-unshared    |
+
+  Scenario Outline: The odd registration <text> names no replica
+    Then the registration <text> is not understood
+
+    Examples:
+      | text                                                                                                                                            |
+      | {}                                                                                                                                              |
+      | []                                                                                                                                              |
+      | not JSON                                                                                                                                        |
+      | {"Service":"s","Address":"10.0.0.1:1","Zone":"a","Slots":2,"State":"leaving","Seq":1}                                                           |
+      | {"Service":7,"Address":"10.0.0.1:1","Zone":"a","Slots":2,"State":"ready","Seq":1}                                                               |
+      | {"Service":"s","Address":"10.0.0.1","Zone":"a","Slots":2,"State":"ready","Seq":1}                                                               |
+      | {"Service":"s","Address":"10.0.0.1:x","Zone":"a","Slots":2,"State":"ready","Seq":1}                                                             |
+      | {"Service":"s","Address":"10.0.0.1:1","Zone":"a","Slots":0,"State":"ready","Seq":1}                                                             |
+      | {"Service":"s","Address":"10.0.0.1:1","Zone":"a","Slots":"2","State":"ready","Seq":1}                                                           |
+      | {"Address":"10.0.0.1:1","Zone":"a","Slots":2,"State":"ready","Seq":1}                                                                           |
+
+  Scenario: A registration as the pages show it is understood
+    Then the registration {"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"orkhon-a","Version":"v1","Slots":2,"State":"draining","WarmupLeftMs":1500,"Seq":4,"born":1754219257000,"More":[]} names a replica that leaves
+
+  Scenario: A replica that owes an answer gets no further work
+    Given a router that knows 2 replicas alike
+    When one of them has owed an answer for 3 times the usual
+    Then every one of 50 further picks takes the other
+    And after its late answer it is picked again
+
+  Scenario: An answer goes out in time with the shards that are in
+    Given a fan-out to 10 shards of which 0.8 are enough, due after 0.1 seconds
+    When 9 of them answer at once
+    Then nothing is answered before it is due
+    And at 0.1 seconds it is answered with 9 of 10 shards
+
+  Scenario: A fan-out that cannot have enough shards ends at once
+    Given a fan-out to 10 shards of which 0.8 are enough, due after 0.1 seconds
+    When 3 of them have no replica
+    Then it has failed, and nothing is left running
+
+  Scenario: No more replicas than allowed run a shard
+    Given a fan-out to 1 shards of which 1 are enough, due after 9 seconds
+    When every replica it asks breaks
+    Then 2 replicas were asked
+
+  Scenario: The margin before an answer follows how late answers go out
+    Then a punctual instance begins 6 ms early, one that is 20 ms late 26 ms
--- /dev/null
+++ b/tests/features/steps/fleet.py
@@ -0,0 +1,236 @@
+from random import Random
+
+from behave import given, then, when
+from returns.result import Success
+
+from crocusroad_core.discovery import ReplicaTable
+from crocusroad_core.fronts import Replica, ShardMap
+from crocusroad_core.gather import (
+    FailureReason,
+    Finish,
+    Gather,
+    Lost,
+    Outcome,
+    Plan,
+    Policy,
+    Punctuality,
+    Reply,
+    Send,
+)
+from crocusroad_core.repeats import RepeatBudget
+from crocusroad_core.routes import AdoptedTable
+from crocusroad_core.routing import Router
+from crocusroad_platform._registrations import decode_registration
+from tests.properties import fleet
+
+USUAL = 0.02
+
+
+class AdoptsAnything(AdoptedTable):
+    def adopt(self, table, now):
+        self.table = table
+        return True
+
+
+class DropsAtOnce(ReplicaTable):
+    def _is_unsure(self, now):
+        return False
+
+
+class HoldsForEver(ReplicaTable):
+    def expire(self, now):
+        return []
+
+
+class Unshared(RepeatBudget):
+    def on_instances(self, count):
+        self._instances = 1
+
+
+VARIANTS = {
+    'adopts-anything': ('AdoptedTable', AdoptsAnything),
+    'drops-at-once': ('ReplicaTable', DropsAtOnce),
+    'holds-for-ever': ('ReplicaTable', HoldsForEver),
+    'budget-unshared': ('RepeatBudget', Unshared),
+}
+
+
+@then('the fleet property "{name}" holds')
+def step_holds(context, name):
+    getattr(fleet, name)()
+
+
+@then('the fleet property "{name}" fails for the variant "{variant}"')
+def step_caught(context, name, variant):
+    replaced, bad = VARIANTS[variant]
+    good = getattr(fleet, replaced)
+    setattr(fleet, replaced, bad)
+    try:
+        getattr(fleet, name)()
+    except AssertionError:
+        return
+    finally:
+        setattr(fleet, replaced, good)
+    raise RuntimeError(f'{name} does not catch {variant}')
+
+
+@then('the registration {text} is not understood')
+def step_odd(context, text):
+    assert not isinstance(decode_registration('servers/i', text), Success)
+
+
+@then('the registration {text} names a replica that leaves')
+def step_understood(context, text):
+    entry = decode_registration('servers/i-7', text).unwrap()
+    assert entry.name == 'i-7'
+    assert entry.is_draining
+    assert entry.warmup == 1.5
+    assert entry.born == 1754219257000
+
+
+def replicas(count, shard='s'):
+    return tuple(
+        Replica(f'{shard}-{number}', f'10.0.0.{number}:1', 'a', 2, 25)
+        for number in range(count)
+    )
+
+
+@given('a router that knows {count:d} replicas alike')
+def step_router(context, count):
+    context.router = Router('a', Random(1).random)
+    context.all = replicas(count)
+    for number in range(100):
+        for one in context.all:
+            context.router.on_sent(one, number / 10)
+            context.router.on_reply(one, USUAL, 0.0, number / 10 + USUAL)
+
+
+@when('one of them has owed an answer for {times:d} times the usual')
+def step_owes(context, times):
+    context.router.on_sent(context.all[0], 10)
+    context.now = 10 + times * USUAL
+
+
+@then('every one of {count:d} further picks takes the other')
+def step_avoided(context, count):
+    for _ in range(count):
+        picked = context.router.pick('s', context.all, context.now)
+        assert picked is context.all[1] or picked == context.all[1]
+
+
+@then('after its late answer it is picked again')
+def step_picked_again(context):
+    router = context.router
+    router.on_abandoned(context.all[0], 0.06, context.now)
+    router.on_late(context.all[0], context.now, is_answered=True)
+    for _ in range(20):  # its latency is forgiven by further answers
+        router.on_sent(context.all[0], context.now)
+        router.on_reply(context.all[0], USUAL, 0.0, context.now)
+    for _ in range(4):
+        router.on_sent(context.all[1], context.now)
+    assert router.pick('s', context.all, context.now) == context.all[0]
+
+
+@given(
+    'a fan-out to {count:d} shards of which {share:g} are enough,'
+    ' due after {due:g} seconds'
+)
+def step_fan_out(context, count, share, due):
+    shards = {
+        f's{number}': replicas(3, f's{number}') for number in range(count)
+    }
+    context.shards = shards
+    context.gone = set()
+    plan = Plan(
+        ShardMap(1, shards),
+        20,
+        10.0,
+        True,
+        merge=lambda parts, limit: [one for part in parts for one in part],
+        max_replicas=2,
+        least_share=share,
+        answer_by=due,
+    )
+    policy = Policy(
+        pick=lambda shard, some, now: (
+            None if shard in context.gone else some[0]
+        ),
+        hedge_delay=lambda shard, now: None,
+        spend=lambda shard, now: True,
+        replace=lambda has_run, now: False,
+    )
+    context.gather = Gather(plan, policy)
+
+
+def finish_of(commands):
+    return next((one for one in commands if isinstance(one, Finish)), None)
+
+
+@when('{count:d} of them answer at once')
+def step_answer(context, count):
+    sends = context.gather.begin(0.0)
+    for send in sends[:count]:
+        attempt = send.attempt
+        reply = Reply(attempt.serial, attempt.shard, 1, [b'r'])
+        assert finish_of(context.gather.on_reply(reply, 0.01)) is None
+
+
+@then('nothing is answered before it is due')
+def step_not_yet(context):
+    assert finish_of(context.gather.on_tick(0.09)) is None
+    assert context.gather.next_wake() == 0.1
+
+
+@then('at {now:g} seconds it is answered with {got:d} of {count:d} shards')
+def step_in_time(context, now, got, count):
+    finish = finish_of(context.gather.on_tick(now))
+    assert finish.outcome is Outcome.answered
+    assert finish.coverage['answered'] == got
+    assert finish.coverage['shards'] == count
+    assert len(finish.coverage['missing']) == count - got
+
+
+@when('{count:d} of them have no replica')
+def step_no_replica(context, count):
+    context.gone = set(list(context.shards)[:count])
+    context.commands = context.gather.begin(0.0)
+
+
+@then('it has failed, and nothing is left running')
+def step_failed(context):
+    finish = finish_of(context.commands)
+    assert finish.outcome is Outcome.failed
+    assert not context.gather.running
+
+
+@when('every replica it asks breaks')
+def step_breaks(context):
+    commands = context.gather.begin(0.0)
+    context.asked = set()
+    while sends := [one for one in commands if isinstance(one, Send)]:
+        for send in sends:
+            context.asked.add(send.attempt.replica.name)
+            lost = Lost(send.attempt.serial, FailureReason.broken)
+            commands = context.gather.on_lost(lost, 0.01)
+
+
+@then('{count:d} replicas were asked')
+def step_asked(context, count):
+    assert len(context.asked) == count, context.asked
+
+
+@then(
+    'a punctual instance begins {least:d} ms early, one that is {late:d} ms'
+    ' late {then:d} ms'
+)
+def step_margin(context, least, late, then):
+    margin = Punctuality()
+    margin.record(0.0)
+    assert round(margin.margin * 1000) == least
+    margin.record(late / 1000)
+    assert round(margin.margin * 1000) == then
+    for _ in range(200):
+        margin.record(0.0)
+    assert round(margin.margin * 1000) == least
+    margin.record(5.0)
+    assert margin.margin <= 0.04
--- /dev/null
+++ b/tests/standins/fleet_store.py
@@ -0,0 +1,197 @@
+"""A stand-in of the users' metadata store, in memory."""
+
+import asyncio
+import base64
+import json
+import time
+from contextlib import suppress
+
+from tests.standins.http import read_request, render
+
+LEASES = ('/-/kv-lease', '/-/kv-keep/', '/-/kv-lease-end/')
+
+
+class FleetStore:
+    """Items, leases and watches; `mode` says how it misbehaves.
+
+    up, silent (answers nothing), reset, busy (503) or lossy (a write is done
+    and its answer is lost). `refused` holds the addresses that it turns away.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.floor = 0
+        self.revision = 1
+        self.leases = {}
+        self.mode = 'up'
+        self.refused = set()
+        self.calls = 0
+        self.watchers = set()  # addresses that asked for changes
+        self.changed = asyncio.Event()
+        self.open = set()
+
+    async def start(self, hosts, port):
+        self.server = await asyncio.start_server(self.serve, hosts, port)
+
+    def close(self):
+        self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        self.items[key] = (value, self.revision, lease)
+        self._note(key, value)
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self._note(key, None)
+
+    def compact(self):
+        self.history.clear()
+        self.floor = self.revision
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == 'reset':
+            for writer in tuple(self.open):
+                writer.transport.abort()
+
+    def expire(self):
+        now = time.monotonic()
+        for lease, (_, until) in tuple(self.leases.items()):
+            if until < now:
+                self._end(lease)
+
+    async def serve(self, reader, writer):
+        self.open.add(writer)
+        host = writer.get_extra_info('sockname')[0]
+        try:
+            while (req := await read_request(reader)) is not None:
+                self.calls += 1
+                self.expire()
+                if not await self.answer(req, writer, host):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.CancelledError:
+            return
+        finally:
+            self.open.discard(writer)
+            with suppress(RuntimeError):  # the loop may be closed
+                writer.transport.abort()
+
+    async def answer(self, req, writer, host):
+        mode = 'reset' if host in self.refused else self.mode
+        if mode == 'silent':
+            await asyncio.sleep(3600)
+        if mode == 'reset':
+            return False
+        if mode == 'busy':
+            writer.write(render(503, b''))
+            return True
+        if req.path == '/-/kv-watch':
+            self.watchers.add(host)
+        status, body = await self.handle(req)
+        if mode == 'lossy' and req.method == 'POST':
+            return False
+        writer.write(render(status, json.dumps(body).encode()))
+        return True
+
+    async def handle(self, req):
+        if req.path == '/-/kv-key':
+            return self._read(req.query['Key'])
+        if req.path == '/-/kv-range':
+            return self._range(req.query['Prefix'])
+        if req.path == '/-/kv-watch':
+            return await self._watch(req.query)
+        if req.path == '/-/kv-txn':
+            return self._txn(json.loads(req.body))
+        if req.path.startswith(LEASES):
+            return self._lease(req)
+        return 404, {}
+
+    def _read(self, key):
+        if key not in self.items:
+            return 404, {'AsOf': self.revision}
+        return 200, self._item(key) | {'AsOf': self.revision}
+
+    def _range(self, prefix):
+        keys = sorted(key for key in self.items if key.startswith(prefix))
+        items = [self._item(key) for key in keys]
+        return 200, {'items': items, 'HasMore': False, 'AsOf': self.revision}
+
+    async def _watch(self, query):
+        prefix, after = query['Prefix'], int(query['after'])
+        until = time.monotonic() + int(query['WaitMs']) / 1000
+        while True:
+            if after < self.floor:
+                return 410, {}
+            events = [
+                event
+                for revision, key, event in self.history
+                if revision > after and key.startswith(prefix)
+            ]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                return 200, {'events': events, 'AsOf': self.revision}
+            with suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+
+    def _txn(self, body):
+        for row in body['ExpectedRev']:
+            held = self.items.get(row['Key'], (None, 0, 0))[1]
+            if held != row['Revision']:
+                return 412, {'items': []}
+        for row in body['SetKeys']:
+            lease = row.get('LeaseId', 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+            value = base64.b64decode(row['Value']).decode()
+            self.put(row['Key'], value, lease)
+        for key in body['Remove']:
+            self.remove(key)
+        return 200, {'Revision': self.revision}
+
+    def _lease(self, req):
+        if req.path == '/-/kv-lease':
+            ttl = json.loads(req.body)['TtlMs']
+            lease = len(self.leases) + 1000
+            self.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+            return 200, {'LeaseId': lease, 'TtlMs': ttl}
+        lease = int(req.path.rpartition('/')[2])
+        if lease not in self.leases:
+            return 404, {}
+        ttl = self.leases[lease][0]
+        if req.method == 'DELETE':
+            self._end(lease)
+        else:
+            self.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+        return 200, {'TtlMs': ttl}
+
+    def _end(self, lease):
+        del self.leases[lease]
+        held = [key for key, item in self.items.items() if item[2] == lease]
+        for key in held:
+            self.remove(key)
+
+    def _item(self, key):
+        value, revision, lease = self.items[key]
+        return {
+            'Key': key,
+            'Value': base64.b64encode(value.encode()).decode(),
+            'Revision': revision,
+            'Created': revision,
+            'LeaseId': lease,
+        }
+
+    def _note(self, key, value):
+        event = {'Key': key, 'Revision': self.revision, 'Tombstone': True}
+        if value is not None:
+            event = self._item(key)
+        self.history.append((self.revision, key, event))
+        self.changed.set()
+        self.changed = asyncio.Event()
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,230 @@
+"""Gateways as real processes, with a store and replicas in this one."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from tests.standins.fleet_replica import FleetReplica
+from tests.standins.fleet_store import FleetStore
+
+ROOT = Path(__file__).parent.parent.parent
+FRONT, READY, RELAY, METRICS = 18104, 18108, 17380, 9464
+STORE_PORT, REPLICA_PORT = 18102, 18640
+GRACE = 6
+MOST = 200  # gateways
+SHARDS = ('s0', 's1', 's2', 's3')
+
+
+def route(name, prefix, **extra):
+    return {
+        'Name': name,
+        'Host': 'pupu.example',
+        'Prefix': prefix,
+        'Type': 'idempotent',
+        'TimeoutMs': 1500,
+        'SloMs': 200,
+        'Priority': 1,
+        'MaxAttempts': 2,
+    } | extra
+
+
+ROUTES = (
+    route('all', '/all/', FanoutServices=SHARDS, TopK=5, MinShardRatio=0.75),
+    route('one', '/one/', Service='single'),
+    route('pay', '/pay/', Service='single', Type='non_idempotent'),
+)
+
+
+class Answer:
+    """What a caller got; `status` is 0 if the connection ended."""
+
+    def __init__(self, status=0, headers=None, body=b''):
+        self.status = status
+        self.headers = headers or {}
+        self.body = body
+
+
+class Fleet:
+    """A store, replicas and gateways on addresses of the loopback range."""
+
+    def __init__(self, folder, number=0):
+        self.folder = Path(folder)
+        self.net = f'127.{20 + number}'
+        self.store = FleetStore()
+        self.replicas = {}
+        self.procs = {}
+        self.version = 0
+        self.serial = 0
+
+    async def start(self):
+        # One address for each gateway, so that the store knows who calls.
+        hosts = [self.store_host(f'g{number}') for number in range(MOST)]
+        await self.store.start(hosts, STORE_PORT)
+
+    async def populate(self, copies=2):
+        for service in (*SHARDS, 'single'):
+            for copy in range(copies):
+                await self.add_replica(f'i-{service}-{copy}', service)
+        self.configure(ROUTES)
+
+    async def add_replica(self, name, service, seconds=0.005, home=None):
+        host = f'{self.net}.1.{len(self.replicas) + 1}'
+        host, port = home or (host, REPLICA_PORT)
+        replica = FleetReplica(name, service, host, port, seconds)
+        await replica.start()
+        self.replicas[name] = replica
+        self.register(replica)
+        return replica
+
+    def register(self, replica, state='ready'):
+        entry = {
+            'Service': replica.service,
+            'Address': replica.address,
+            'Zone': 'a',
+            'Version': 'v1',
+            'Slots': 2,
+            'State': state,
+            'WarmupLeftMs': 0,
+            'Seq': 1,
+            'born': 1754219257000,
+        }
+        self.store.put(f'servers/{replica.name}', json.dumps(entry))
+
+    def configure(self, routes, version=None):
+        self.version = version or self.version + 1
+        names = (*SHARDS, 'single', 'other')
+        config = {
+            'Version': self.version,
+            'Routes': list(routes),
+            'Services': [
+                {'Name': one, 'HealthPath': '/health', 'MaxConns': 26}
+                for one in names
+            ],
+            'Limits': {
+                'MaxHeaderBytes': 4096,
+                'MaxBodyBytes': 4096,
+                'HeaderTimeoutMs': 600,
+                'IdleTimeoutMs': 1500,
+            },
+        }
+        self.store.put('op/config', json.dumps(config))
+
+    def host(self, name):
+        return f'{self.net}.2.{int(name[1:]) + 1}'
+
+    def store_host(self, name):
+        return f'{self.net}.3.{int(name[1:]) + 1}'
+
+    def settings(self, name):
+        host = self.host(name)
+        return {
+            'NodeName': name,
+            'Ip': host,
+            'Zone': 'abc'[int(name[1:]) % 3],
+            'Listen': {'Front': f'{host}:{FRONT}', 'Ready': f'{host}:{READY}'},
+            'PortRange': [RELAY, RELAY + 15],
+            'Limits': {'LinkMbps': 1000.0},
+            'Bounds': {
+                'DrainMs': 3000,
+                'GraceS': GRACE,
+                'ConfigApplyMs': 3000,
+                'RetryBudgetRatio': 0.2,
+                'RetryWindowS': 10,
+                'RetrySlack': 56,
+            },
+            'platform': {'Address': f'{self.store_host(name)}:{STORE_PORT}'},
+        }
+
+    def spawn(self, name, log=None):
+        file = self.folder / f'{name}.yaml'
+        file.write_text(json.dumps(self.settings(name)))
+        out = log or (self.folder / f'{name}.log').open('ab')
+        self.procs[name] = subprocess.Popen(
+            [sys.executable, str(ROOT / 'deploy' / 'gateway.py')],
+            env=os.environ | {'CROCUSROAD_CONFIG': str(file)},
+            stdout=out,
+            stderr=subprocess.STDOUT,
+        )
+
+    async def spawn_ready(self, *names):
+        for name in names:
+            self.spawn(name)
+        for name in names:
+            await self.until(lambda one=name: self.is_ready(one), 10, name)
+
+    async def until(self, check, seconds, what):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            done = check()
+            if asyncio.iscoroutine(done):
+                done = await done
+            if done:
+                return
+            await asyncio.sleep(0.03)
+        raise AssertionError(f'not within {seconds} s: {what}')
+
+    async def is_ready(self, name):
+        home = (self.host(name), READY)
+        answer = await self.ask(name, '/-/ready', home=home, seconds=1)
+        return answer.status == 200
+
+    async def ask(
+        self, name, path, method='GET', body=b'', seconds=3, home=None, own=None
+    ):
+        """Return the answer to one request on a connection of its own."""
+        self.serial += 1
+        own = own or f'{self.serial:016x}'
+        head = (
+            f'{method} {path} HTTP/1.1\r\nHost: pupu.example\r\n'
+            f'X-Request-Id: {own}\r\nX-Request-Deadline: 1500\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        home = home or (self.host(name), FRONT)
+        return await exchange(home, head.encode() + body, seconds)
+
+    def lines(self, name):
+        """Return what a gateway has logged."""
+        text = (self.folder / f'{name}.log').read_text()
+        return [json.loads(one) for one in text.splitlines() if one[:1] == '{']
+
+    async def close(self):
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+            proc.wait()
+        for replica in self.replicas.values():
+            replica.close()
+        self.store.close()
+        await asyncio.sleep(0)
+
+
+async def exchange(home, raw, seconds=3):
+    """Send bytes on a new connection; return the first answer."""
+    try:
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(*home)
+            try:
+                writer.write(raw)
+                return await read_answer(reader)
+            finally:
+                writer.close()
+    except (OSError, asyncio.IncompleteReadError):
+        return Answer()
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    first, *rest = head.strip().split('\r\n')
+    headers = {}
+    for line in rest:
+        name, _, text = line.partition(':')
+        headers[name.strip().lower()] = text.strip()
+    size = int(headers.get('content-length', 0))
+    body = await reader.readexactly(size)
+    return Answer(int(first.split()[1]), headers, body)
