--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -5,7 +5,7 @@
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather import FailureReason
-from crocusroad_core.routing._choice import lesser_of_two
+from crocusroad_core.routing._choice import least_of_few
 from crocusroad_core.routing._health import HealthReport
 from crocusroad_core.routing._latency import LatencyTrack
 from crocusroad_core.routing._replica_state import ReplicaState
@@ -199,10 +199,10 @@
 
     def _choose(self, states: list[ReplicaState], now: float) -> Replica:
         if states[0].group.is_in_doubt(now):
-            return lesser_of_two(states, _own_share, self._draw).replica
+            return least_of_few(states, _own_share, self._draw).replica
         peers = self._peers
         ready = [one for one in states if one.is_ready(now)]
-        return lesser_of_two(
+        return least_of_few(
             ready or states,
             lambda one: one.score(peers, now) + self._opening_cost(one.replica),
             self._draw,
--- a/packages/node/src/crocusroad_node/exchanges/_reading.py
+++ b/packages/node/src/crocusroad_node/exchanges/_reading.py
@@ -81,7 +81,8 @@
 
     def _take(self, status: int) -> None:
         headers = tuple(self._headers)
-        whole = Response(status, headers, b''.join(self._body))
+        fields = dict(reversed(headers))
+        whole = Response(status, headers, fields, b''.join(self._body))
         echoed = whole.header(self._id_header)
         if echoed is not None and echoed != self._request_id:
             self.skipped += 1
--- a/packages/node/src/crocusroad_node/exchanges/_response.py
+++ b/packages/node/src/crocusroad_node/exchanges/_response.py
@@ -1,5 +1,6 @@
 """A whole response."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -8,11 +9,9 @@
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]  # names in lower case
+    fields: Mapping[bytes, bytes]  # the first value of each header
     body: bytes
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given in lower case."""
-        for own, text in self.headers:
-            if own == name:
-                return text
-        return None
+        return self.fields.get(name)
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_warmer.py
@@ -0,0 +1,63 @@
+"""Connections opened ahead of the first requests to a service."""
+
+import asyncio
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Final
+
+from crocusroad_core.fronts import Replica
+from crocusroad_node.exchanges import LinkPool
+from crocusroad_node.gateway._directory import Directory
+
+# For each service: the replica asked first, and the one that a slow answer
+# is asked of.
+WARM_REPLICAS: Final = 2
+# Opened at once, and the pause after them in seconds: a slow instance stays
+# free for requests meanwhile.
+BATCH: Final = 10
+PAUSE_SECONDS: Final = 0.02
+LOOK_SECONDS: Final = 0.2
+
+
+class Warmer:
+    """Opens connections to services that routes name for the first time."""
+
+    def __init__(
+        self,
+        instance: str,
+        directory: Directory,
+        pool: Callable[[Replica], LinkPool],
+    ) -> None:
+        self._instance = instance
+        self._directory = directory
+        self._pool = pool
+        self._warmed: set[str] = set()  # services
+
+    async def run(self) -> None:
+        """Open what is wanted, for ever."""
+        while True:
+            for number, replica in enumerate(self._wanted(), 1):
+                self._pool(replica).warm(1)
+                if number % BATCH == 0:
+                    await asyncio.sleep(PAUSE_SECONDS)
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def _wanted(self) -> list[Replica]:
+        table = self._directory.table
+        if table is None:
+            return []
+        named = table.services.keys()
+        self._warmed &= named
+        wanted: list[Replica] = []
+        for service in named - self._warmed:
+            replicas = self._directory.replicas(service)
+            if replicas:
+                self._warmed.add(service)
+                wanted += sorted(replicas, key=self._rank)[:WARM_REPLICAS]
+        return wanted
+
+    def _rank(self, replica: Replica) -> bytes:
+        # Each instance begins with other replicas, so that together they
+        # open as many connections to each.
+        text = f'{self._instance}/{replica.name}'
+        return blake2b(text.encode(), digest_size=8).digest()
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -1,6 +1,7 @@
 """The composition root of a gateway: builds its parts and wires them."""
 
 import asyncio
+import gc
 import logging
 import signal
 from collections.abc import Callable
@@ -30,6 +31,7 @@
 from crocusroad_node.gateway._relay_desk import RelayDesk
 from crocusroad_node.gateway._reload import Reloader
 from crocusroad_node.gateway._sourced import SourcedStore
+from crocusroad_node.gateway._warmer import Warmer
 from crocusroad_node.logs import note
 from crocusroad_node.node_life import NodeLife
 
@@ -163,7 +165,8 @@
             desk=desk,
         ),
     )
-    jobs = [one.run() for one in (*followers, fleet, reloader)]
+    warmer = Warmer(cfg.instance, directory, pools.pool)
+    jobs = [one.run() for one in (*followers, fleet, reloader, warmer)]
     tasks = [asyncio.create_task(one) for one in jobs]
     tasks.append(asyncio.create_task(_serve_when_known(directory, life)))
     await life.draining.wait()
@@ -200,4 +203,8 @@
 async def _serve_when_known(directory: Directory, life: NodeLife) -> None:
     while not directory.is_known:  # noqa: ASYNC110
         await asyncio.sleep(TICK_SECONDS)
+    # What is there now stays: a full collection, which takes tens of
+    # milliseconds on a slow instance, need not look at it again.
+    gc.collect()
+    gc.freeze()
     life.serve()
--- /dev/null
+++ b/tests/features/soak.feature
@@ -0,0 +1,25 @@
+Feature: A fault soak of gateways as processes
+  Random series of faults from outside; the promises are checked while they
+  run, from what callers and replicas see.
+
+  Scenario Outline: Seed <seed> keeps every promise
+    Then a soak of 2 gateways for 8 seconds with seed <seed> breaks nothing
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
+  Scenario Outline: The planted fault <planted> is found
+    Then a soak with <planted> planted and <fault> breaks a promise
+
+    Examples:
+      | planted             | fault         |
+      | takes-any-answer    | double_answers |
+      | adopts-backwards    | show_older    |
+      | keeps-draining      | drain_replica |
+      | stops-at-once       | stop_gateway  |
+      | repeats-everything  | break_replica |
+      | says-not-run        | break_replica |
+      | overstates-coverage | break_shard   |
+      | trusts-addresses    | steal_address |
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateways, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/planted.py
@@ -0,0 +1,129 @@
+"""Gateways with a fault planted, which the soak has to find.
+
+Run: python -m tests.soak.planted NAME
+"""
+
+import sys
+
+from crocusroad_core.discovery import ReplicaTable
+from crocusroad_core.gather import Finish, Gather
+from crocusroad_core.routes import AdoptedTable
+from crocusroad_node import gateway_root
+from crocusroad_node.exchanges import _link, _reading
+from crocusroad_node.gateway import _gateway, _judge, _plans, _query
+from crocusroad_platform.main import main
+
+
+def takes_any_answer():
+    def take(self, status):
+        headers = tuple(self._headers)
+        fields = dict(reversed(headers))
+        body = b''.join(self._body)
+        self.whole = _reading.Response(status, headers, fields, body)
+        self.keeps_alive = True
+
+    def take_bytes(self, data):
+        late = getattr(self, 'late', b'') + data
+        self.late = late if self._reading is None else b''
+        if self._reading is not None:
+            data_received(self, late)
+
+    data_received = _link.Link.data_received
+    _reading.Reading._take = take
+    _link.Link.data_received = take_bytes
+
+
+def adopts_backwards():
+    def adopt(self, table, now):
+        self.table = table
+        return True
+
+    AdoptedTable.adopt = adopt
+
+
+def keeps_draining():
+    def replicas(self, service):
+        every = self._known.values()
+        return tuple(one for one in every if one.service == service)
+
+    ReplicaTable.replicas = replicas
+
+
+def stops_at_once():
+    async def leave(door, in_flight, grace):
+        return
+
+    gateway_root.leave = leave
+
+
+def repeats_everything():
+    plan_for = _plans.plan_for
+
+    def plan(target, directory, times, margin):
+        made = plan_for(target, directory, times, margin)
+        return made._replace(is_repeatable=True)
+
+    _gateway.plan_for = plan
+
+
+def says_not_run():
+    finish = Gather._finish
+
+    def lie(self, **words):
+        return [
+            one._replace(may_have_run=False) if isinstance(one, Finish) else one
+            for one in finish(self, **words)
+        ]
+
+    Gather._finish = lie
+
+
+def overstates_coverage():
+    def merged(self, target, query, finish):
+        reply = honest(self, target, query, finish)
+        headers = (reply.headers[0], (reply.headers[1][0], b'0'))
+        return reply._replace(headers=headers)
+
+    honest = _gateway.Gateway._merged
+    _gateway.Gateway._merged = merged
+
+
+def trusts_addresses():
+    """A link that is not proved: whoever has the address is taken."""
+    encoder = _gateway.encoder
+
+    def unproved(req, names):
+        encode = encoder(req, names)
+
+        def strip(replica, deadline, now):
+            raw = encode(replica, deadline, now)
+            name = b'%b: %b\r\n' % (
+                names.expected_replica,
+                replica.name.encode(),
+            )
+            return raw.replace(name, b'')
+
+        return strip
+
+    _gateway.encoder = unproved
+    _query.judge = lambda response, names, must_be_success: None
+    assert _judge
+
+
+PLANTED = {
+    one.__name__.replace('_', '-'): one
+    for one in (
+        takes_any_answer,
+        adopts_backwards,
+        keeps_draining,
+        stops_at_once,
+        repeats_everything,
+        says_not_run,
+        overstates_coverage,
+        trusts_addresses,
+    )
+}
+
+if __name__ == '__main__':
+    PLANTED[sys.argv[1]]()
+    main()
