Answer early enough for the way, hedge only what can be in time

Ruled out: the loop's call_soon as a way to read first (it runs before the poll); it waits a millisecond now.

Change: margin of 15 ms and learnt lateness; no hedge between the last useful moment and the due one; hedges from 0.3 to 0.5 of the objective; own zone and open connections first; one warm connection a service.

--- a/packages/core/src/crocusroad_core/gather/_hedges.py
+++ b/packages/core/src/crocusroad_core/gather/_hedges.py
@@ -23,6 +23,9 @@
 
 
 def _hedge(flight: Flight, part: Part, now: float) -> list[Command]:
+    if not flight.plan.is_hedge_in_time(now):
+        flight.alarms.put(part.shard, flight.plan.answer_by)
+        return []
     if not part.untried():
         part.ask_again()
     replica = flight.choose(part, part.untried(), now)
--- a/packages/core/src/crocusroad_core/gather/_plan.py
+++ b/packages/core/src/crocusroad_core/gather/_plan.py
@@ -26,6 +26,15 @@
     max_replicas: int = 0  # that may run one shard; 0: as many as there are
     least_share: float = 0  # of the shards; an answer with less is a failure
     answer_by: float = inf  # from here on an answer with enough shards goes out
+    hedge_time: float = 0  # seconds that a hedge takes to be answered at least
+
+    def is_hedge_in_time(self, now: float) -> bool:
+        """Tell whether a hedge sent now can help the answer in time.
+
+        One that comes after the answer is due helps only if too few shards
+        are in by then.
+        """
+        return not now < self.answer_by < now + self.hedge_time
 
     def is_enough(self, answered: int, shards: int) -> bool:
         """Tell whether an answer that lacks shards may be given."""
--- a/packages/core/src/crocusroad_core/gather/_punctuality.py
+++ b/packages/core/src/crocusroad_core/gather/_punctuality.py
@@ -2,8 +2,10 @@
 
 from typing import Final
 
-LEAST_MARGIN: Final = 0.006  # seconds; the way to the caller and back
-MOST_MARGIN: Final = 0.04  # seconds; an instance slower than that is too slow
+# Seconds that a caller waits besides: a connection, the request and the
+# answer take four ways of 3 ms to the farthest callers, and the work there.
+LEAST_MARGIN: Final = 0.015
+MOST_MARGIN: Final = 0.045  # seconds; an instance slower than that is too slow
 # Share of a lateness that is kept with each answer that is less late.
 KEPT: Final = 0.95
 
--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -41,18 +41,18 @@
 class Router:
     """State of every replica, and the choice among candidates by it.
 
-    `draw` gives floats in [0, 1). `opening_cost` gives the seconds that a
-    request to a replica waits for a connection.
+    `draw` gives floats in [0, 1). `reach_cost` gives what reaching a
+    replica costs beside its latency, in seconds.
     """
 
     def __init__(
         self,
         zone: str,
         draw: Callable[[], float],
-        opening_cost: Callable[[Replica], float] = _no_cost,
+        reach_cost: Callable[[Replica], float] = _no_cost,
     ) -> None:
         self._draw = draw
-        self._opening_cost = opening_cost
+        self._reach_cost = reach_cost
         self._replicas = Replicas(Zones(zone))
         self._tracks: dict[str, LatencyTrack] = {}  # by shard
         self._views: dict[str, ShardView] = {}  # by shard
@@ -204,7 +204,7 @@
         ready = [one for one in states if one.is_ready(now)]
         return least_of_few(
             ready or states,
-            lambda one: one.score(peers, now) + self._opening_cost(one.replica),
+            lambda one: one.score(peers, now) + self._reach_cost(one.replica),
             self._draw,
         ).replica
 
--- a/packages/node/src/crocusroad_node/gateway/_plans.py
+++ b/packages/node/src/crocusroad_node/gateway/_plans.py
@@ -15,6 +15,9 @@
 # link between zones and back, and the work on the way.
 WAY_BACK_SECONDS: Final = 0.007
 
+# A hedge is answered within this share of the objective at the soonest.
+HEDGE_SHARE: Final = 0.15
+
 
 class Target(NamedTuple):
     """Where a request goes."""
@@ -52,6 +55,7 @@
         max_replicas=route.max_replicas,
         least_share=route.least_share if route.is_fan_out else 1,
         answer_by=answer_by,
+        hedge_time=HEDGE_SHARE * route.objective,
     )
 
 
--- a/packages/node/src/crocusroad_node/gateway/_policies.py
+++ b/packages/node/src/crocusroad_node/gateway/_policies.py
@@ -7,8 +7,8 @@
 
 # A second replica is asked early enough for its answer to be in time: at this
 # share of the objective at the latest, and at this one at the soonest.
-LATEST_HEDGE = 0.45
-SOONEST_HEDGE = 0.15
+LATEST_HEDGE = 0.5
+SOONEST_HEDGE = 0.3
 
 
 class Policies:
--- a/packages/node/src/crocusroad_node/gateway/_pools.py
+++ b/packages/node/src/crocusroad_node/gateway/_pools.py
@@ -5,8 +5,12 @@
 from crocusroad_core.fronts import Replica
 from crocusroad_node.exchanges import LinkPool
 
-# A handshake, and a round trip between zones, before a request can be sent.
-OPENING_SECONDS: Final = 0.012
+# A handshake of some milliseconds, which holds a slot of the replica, and a
+# round trip between zones, before a request can be sent.
+OPENING_SECONDS: Final = 0.025
+# What a replica in another zone has to be better by. Its latency shows the
+# way already; this keeps traffic between zones, which costs more, for need.
+CROSSING_SECONDS: Final = 0.01
 # Instances taken to share a replica's connections until they are counted.
 FIRST_COUNT: Final = 8
 
@@ -18,8 +22,9 @@
     part is left for an instance that is being replaced.
     """
 
-    def __init__(self, id_header: bytes) -> None:
+    def __init__(self, id_header: bytes, zone: str) -> None:
         self._id_header = id_header
+        self._zone = zone
         self._count = FIRST_COUNT
         self._pools: dict[str, LinkPool] = {}
 
@@ -27,11 +32,15 @@
         """Take the number of instances."""
         self._count = count
 
-    def opening_cost(self, replica: Replica) -> float:
-        """Return the seconds that a request waits for a connection."""
+    def reach_cost(self, replica: Replica) -> float:
+        """Return what reaching a replica costs, in seconds of latency."""
+        cost: float = 0
+        if replica.zone != self._zone:
+            cost += CROSSING_SECONDS
         pool = self._pools.get(replica.address)
-        is_at_hand = pool is not None and pool.has_rested
-        return 0 if is_at_hand else OPENING_SECONDS
+        if pool is None or not pool.has_rested:
+            cost += OPENING_SECONDS
+        return cost
 
     def pool(self, replica: Replica) -> LinkPool:
         """Return the pool of a replica's address."""
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -65,6 +65,8 @@
 
 # A timer that is later than this was held up by the instance itself.
 LATE_TICK_SECONDS = 0.008
+# The loop reads what has come before a timer this far ahead, in seconds.
+READ_SECONDS = 0.001
 MAX_TRACES = 12  # of one request that are kept
 
 
@@ -236,7 +238,7 @@
         self._timer = None
         if monotonic() - self._wake_at > LATE_TICK_SECONDS:
             # Answers may lie unread: they are taken before more is asked.
-            self._loop.call_soon(self._act)
+            self._loop.call_later(READ_SECONDS, self._act)
         else:
             self._act()
 
--- a/packages/node/src/crocusroad_node/gateway/_warmer.py
+++ b/packages/node/src/crocusroad_node/gateway/_warmer.py
@@ -9,9 +9,6 @@
 from crocusroad_node.exchanges import LinkPool
 from crocusroad_node.gateway._directory import Directory
 
-# For each service: the replica asked first, and the one that a slow answer
-# is asked of.
-WARM_REPLICAS: Final = 2
 # Opened at once, and the pause after them in seconds: a slow instance stays
 # free for requests meanwhile.
 BATCH: Final = 10
@@ -25,10 +22,12 @@
     def __init__(
         self,
         instance: str,
+        zone: str,
         directory: Directory,
         pool: Callable[[Replica], LinkPool],
     ) -> None:
         self._instance = instance
+        self._zone = zone
         self._directory = directory
         self._pool = pool
         self._warmed: set[str] = set()  # services
@@ -53,11 +52,12 @@
             replicas = self._directory.replicas(service)
             if replicas:
                 self._warmed.add(service)
-                wanted += sorted(replicas, key=self._rank)[:WARM_REPLICAS]
+                wanted.append(min(replicas, key=self._rank))
         return wanted
 
-    def _rank(self, replica: Replica) -> bytes:
-        # Each instance begins with other replicas, so that together they
-        # open as many connections to each.
+    def _rank(self, replica: Replica) -> tuple[bool, bytes]:
+        # The own zone first; else each instance begins with other replicas,
+        # so that together they open as many connections to each.
         text = f'{self._instance}/{replica.name}'
-        return blake2b(text.encode(), digest_size=8).digest()
+        digest = blake2b(text.encode(), digest_size=8).digest()
+        return replica.zone != self._zone, digest
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -94,8 +94,8 @@
     random = Random()  # noqa: S311
     life = NodeLife()
     budget = RepeatBudget(cfg.repeats)
-    pools = Pools(dialect.headers.request_id)
-    router = Router(cfg.zone, random.random, pools.opening_cost)
+    pools = Pools(dialect.headers.request_id, cfg.zone)
+    router = Router(cfg.zone, random.random, pools.reach_cost)
     directory = Directory(
         AdoptedTable(),
         ReplicaTable(),
@@ -165,7 +165,7 @@
             desk=desk,
         ),
     )
-    warmer = Warmer(cfg.instance, directory, pools.pool)
+    warmer = Warmer(cfg.instance, cfg.zone, directory, pools.pool)
     jobs = [one.run() for one in (*followers, fleet, reloader, warmer)]
     tasks = [asyncio.create_task(one) for one in jobs]
     tasks.append(asyncio.create_task(_serve_when_known(directory, life)))
