Judge load by what replicas report, not by a guess of the others

Change: a gateway counts no peers into the load; replicas report theirs with each answer. Test: requests far apart stay with one replica.

--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -120,7 +120,6 @@
         ring.on_members(members)
         budget.on_instances(ring.count)
         pools.on_instances(ring.count)
-        router.on_instances(ring.count, monotonic())
 
     def state() -> str:
         if not life.is_ready:
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -50,6 +50,11 @@
     Then every one of 50 further picks takes the other
     And after its late answer it is picked again
 
+  Scenario: Requests far apart stay with the replica whose connection is open
+    Given a router that knows 3 replicas alike, where a connection costs 25 ms
+    When 60 requests are made 3 seconds apart
+    Then one replica got them all
+
   Scenario: An answer goes out in time with the shards that are in
     Given a fan-out to 10 shards of which 0.8 are enough, due after 0.1 seconds
     When 9 of them answer at once
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -105,6 +105,37 @@
             context.router.on_reply(one, USUAL, 0.0, number / 10 + USUAL)
 
 
+@given(
+    'a router that knows {count:d} replicas alike, where a connection costs'
+    ' {ms:d} ms'
+)
+def step_linked(context, count, ms):
+    context.linked = set()
+    context.router = Router(
+        'a',
+        Random(1).random,
+        lambda one: 0 if one.name in context.linked else ms / 1000,
+    )
+    context.all = replicas(count)
+
+
+@when('{count:d} requests are made {seconds:g} seconds apart')
+def step_far_apart(context, count, seconds):
+    draw = Random(2)
+    for number in range(count):
+        now = number * seconds
+        picked = context.router.pick('s', context.all, now)
+        context.linked.add(picked.name)
+        context.router.on_sent(picked, now)
+        took = USUAL * draw.uniform(0.7, 1.3)
+        context.router.on_reply(picked, took, 0.0, now + took)
+
+
+@then('one replica got them all')
+def step_one_got_all(context):
+    assert len(context.linked) == 1, context.linked
+
+
 @when('one of them has owed an answer for {times:d} times the usual')
 def step_owes(context, times):
     context.router.on_sent(context.all[0], 10)
