--- a/packages/core/src/crocusroad_core/gather/_flight.py
+++ b/packages/core/src/crocusroad_core/gather/_flight.py
@@ -43,20 +43,6 @@
         """Tell whether the parts that answered make an answer."""
         return self.plan.is_enough(self._answered, len(self.parts))
 
-    def can_spare(self, part: Part) -> bool:
-        """Tell whether the answer is better off without more for a part.
-
-        While the budget runs low it is kept for queries that would lack too
-        many shards: this one, without the part, would have enough.
-        """
-        if not self.plan.least_share or not self.policy.is_scarce(part.shard):
-            return False
-        lacking = sum(
-            not one.running and one.records is None
-            for one in self.parts.values()
-        )
-        return self.plan.is_enough(len(self.parts) - lacking, len(self.parts))
-
     @property
     def is_hopeless(self) -> bool:
         """Tell whether the parts still open cannot make an answer."""
--- a/packages/core/src/crocusroad_core/gather/_policy.py
+++ b/packages/core/src/crocusroad_core/gather/_policy.py
@@ -17,14 +17,6 @@
 Replace = Callable[[bool, float], bool]
 
 
-# Tells whether the budget of a shard runs low: (shard).
-IsScarce = Callable[[str], bool]
-
-
-def _never_scarce(shard: str) -> bool:
-    return False
-
-
 class Policy(NamedTuple):
     """The functions that choose replicas, hedge delays and extra load."""
 
@@ -32,4 +24,3 @@
     hedge_delay: HedgeDelay
     spend: Spend
     replace: Replace
-    is_scarce: IsScarce = _never_scarce
--- a/packages/core/src/crocusroad_core/gather/_retries.py
+++ b/packages/core/src/crocusroad_core/gather/_retries.py
@@ -40,8 +40,6 @@
 def _role(flight: Flight, part: Part, now: float) -> AttemptRole | None:
     """Return the role of one more attempt; None if the budget forbids."""
     policy = flight.policy
-    if not part.losses[-1].is_unreached and flight.can_spare(part):
-        return None
     if part.losses[-1].is_unreached:
         # The lost attempt cost no upstream anything; this one is in its place.
         policy.replace(False, now)
--- a/packages/node/src/crocusroad_node/gateway/_policies.py
+++ b/packages/node/src/crocusroad_node/gateway/_policies.py
@@ -34,7 +34,6 @@
             hedge_delay=hedge_delay,
             spend=self._budget.spend,
             replace=lambda has_run, now: False,
-            is_scarce=self._budget.is_scarce,
         )
 
     def record(self, route: str, seconds: float) -> None:
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -66,19 +66,6 @@
     When 3 of them have no replica
     Then it has failed, and nothing is left running
 
-  Scenario Outline: While the budget is <budget>, <lost> of 20 lost shards are asked again <times> times
-    Given a fan-out to 20 shards of which 0.89 are enough, due after 9 seconds
-    And its budget of repeats is "<budget>"
-    When <lost> shards are refused by the replica asked first
-    Then <times> more attempts are sent
-
-    Examples:
-      | budget   | lost | times |
-      | plentiful | 2   | 2     |
-      | plentiful | 5   | 5     |
-      | scarce    | 2   | 0     |
-      | scarce    | 5   | 3     |
-
   Scenario: No more replicas than allowed run a shard
     Given a fan-out to 1 shards of which 1 are enough, due after 9 seconds
     When every replica it asks breaks
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -117,10 +117,6 @@
         lambda one: 0 if one.name in context.linked else ms / 1000,
     )
     context.all = replicas(count)
-    other = replicas(1, 'other')[0]
-    for number in range(400):  # what the zone usually takes is known
-        context.router.on_sent(other, 0)
-        context.router.on_reply(other, USUAL, 0.0, 0)
 
 
 @when('{count:d} requests are made {seconds:g} seconds apart')
@@ -193,9 +189,7 @@
         hedge_delay=lambda shard, now: None,
         spend=lambda shard, now: True,
         replace=lambda has_run, now: False,
-        is_scarce=lambda shard: context.is_scarce,
     )
-    context.is_scarce = False
     context.gather = Gather(plan, policy)
 
 
@@ -240,26 +234,6 @@
     assert not context.gather.running
 
 
-@given('its budget of repeats is "{budget}"')
-def step_budget(context, budget):
-    context.is_scarce = budget == 'scarce'
-
-
-@when('{count:d} shards are refused by the replica asked first')
-def step_refused(context, count):
-    sends = context.gather.begin(0.0)
-    context.again = []
-    for send in sends[:count]:
-        lost = Lost(send.attempt.serial, FailureReason.shed)
-        context.again += context.gather.on_lost(lost, 0.01)
-
-
-@then('{times:d} more attempts are sent')
-def step_again(context, times):
-    sent = [one for one in context.again if isinstance(one, Send)]
-    assert len(sent) == times, len(sent)
-
-
 @when('every replica it asks breaks')
 def step_breaks(context):
     commands = context.gather.begin(0.0)
