--- a/packages/core/src/crocusroad_core/discovery/_replica_table.py
+++ b/packages/core/src/crocusroad_core/discovery/_replica_table.py
@@ -84,8 +84,8 @@
         """Take a whole listing; return the keys that are gone by it."""
         for key, entry in entries.items():
             self.put(key, entry)
-        missing = [key for key in self._known if key not in entries]
-        return [key for key in missing if self.remove(key, now)]
+        missing = tuple(self._known.keys() - entries.keys())
+        return [lost for lost in missing if self.remove(lost, now)]
 
     def on_store_lost(self, now: float) -> None:
         """Note that the store does not answer."""
--- a/packages/core/src/crocusroad_core/routes/_table.py
+++ b/packages/core/src/crocusroad_core/routes/_table.py
@@ -23,6 +23,10 @@
     idle_seconds: float = 15.0
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
 class RouteTable:
     """The routes of one configuration, by host and path prefix."""
 
@@ -40,7 +44,7 @@
         for route in routes:
             self._hosts.setdefault(route.host, []).append(route)
         for same in self._hosts.values():
-            same.sort(key=lambda one: len(one.prefix), reverse=True)
+            same.sort(key=_prefix_length, reverse=True)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix; None if none fits."""
--- a/packages/core/src/crocusroad_core/routes/_turns.py
+++ b/packages/core/src/crocusroad_core/routes/_turns.py
@@ -20,10 +20,9 @@
         if len(route.services) == 1:
             return route.services[0].service
         dealt = self._dealt(route)
-        total = 0.0
+        total = sum(one.weight for one in route.services)
         for one in route.services:
             dealt[one.service] += one.weight
-            total += one.weight
         chosen = max(dealt, key=dealt.__getitem__)
         dealt[chosen] -= total
         return chosen
--- a/packages/node/src/crocusroad_node/gateway/_follow.py
+++ b/packages/node/src/crocusroad_node/gateway/_follow.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from typing import Final, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from returns.result import Result, Success
 
@@ -41,6 +41,18 @@
     return 0
 
 
+def _ignore_reach(is_reached: bool) -> None:
+    """Care nothing for the store being lost or back."""
+
+
+class Told(NamedTuple):
+    """Functions that are told what is learned of the keys."""
+
+    listing: Callable[[Mapping[str, Entry]], None]
+    changes: Callable[[list[Entry]], None]
+    reach: Callable[[bool], None] = _ignore_reach  # the store is reached
+
+
 class Follower:
     """Keeps up with the keys below a prefix, through faults of the store."""
 
@@ -48,17 +60,13 @@
         self,
         kv: Followed,
         prefix: str,
-        on_listing: Callable[[Mapping[str, Entry]], None],
-        on_changes: Callable[[list[Entry]], None],
-        on_reach: Callable[[bool], None],
+        told: Told,
+        desk: RelayDesk,
         rest: Callable[[], float] = _no_rest,
-        desk: RelayDesk | None = None,
     ) -> None:
         self._kv = kv
         self._prefix = prefix
-        self._on_listing = on_listing
-        self._on_changes = on_changes
-        self._on_reach = on_reach
+        self._told = told
         self._rest = rest  # seconds between two watches, to gather changes
         self._desk = desk  # tells other instances
         self._highest = 0  # revision ever seen
@@ -103,12 +111,11 @@
         if is_listing and batch.revision < self._highest:
             # A source that is behind what was seen is not gone back to.
             return StoreFault.unavailable
-        if self._desk is not None:
-            self._desk.take(self._prefix, batch, is_listing=is_listing)
+        self._desk.take(self._prefix, batch, is_listing=is_listing)
         if is_listing:
-            self._on_listing({one.key: one for one in batch.entries})
+            self._told.listing({one.key: one for one in batch.entries})
         elif batch.entries:
-            self._on_changes(batch.entries)
+            self._told.changes(batch.entries)
         self._highest = max(self._highest, batch.revision)
         self._revision = self._highest
         return None
@@ -132,7 +139,4 @@
             fault=fault,
             revision=self._revision,
         )
-        if is_reached:
-            self._on_reach(True)
-        else:
-            self._on_reach(False)
+        self._told.reach(is_reached)
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -42,6 +42,13 @@
 Answer = Callable[[Reply], None]
 
 
+def _failed(outcome: Outcome) -> Reply:
+    REFUSALS.labels(outcome.value).inc()
+    if outcome is Outcome.expired:
+        return refuse(504, 'not answered in time')
+    return refuse(502, 'replicas failed')
+
+
 class Parts(NamedTuple):
     """What the gateway works with."""
 
@@ -184,10 +191,7 @@
             return refuse(503, 'no replica could run it', BUSY_SECONDS)
         if query.failure is not None and not target.route.is_fan_out:
             return pass_on(query.failure, self._internal)
-        REFUSALS.labels(finish.outcome.value).inc()
-        if finish.outcome is Outcome.expired:
-            return refuse(504, 'not answered in time')
-        return refuse(502, 'replicas failed')
+        return _failed(finish.outcome)
 
     def _merged(self, target: Target, query: Query, finish: Finish) -> Reply:
         names = self._parts.dialect.headers
--- a/packages/node/src/crocusroad_node/gateway/_heads.py
+++ b/packages/node/src/crocusroad_node/gateway/_heads.py
@@ -30,7 +30,7 @@
         names.expected_replica,
     )
     middle = b'\r\n%b: ' % names.deadline
-    tail = b'\r\n\r\n' + req.body
+    tail = b'\r\n\r\n%b' % req.body
 
     def encode(replica: Replica, deadline: float, now: float) -> bytes:
         left = max(1, int((deadline - now) * MS_PER_SECOND))
--- a/packages/node/src/crocusroad_node/gateway/_judge.py
+++ b/packages/node/src/crocusroad_node/gateway/_judge.py
@@ -7,8 +7,7 @@
 from crocusroad_node.exchanges import Response
 from crocusroad_node.gateway._dialect import HeaderNames
 
-_NOT_RUN: Final = {
-    HTTPStatus.MISDIRECTED_REQUEST: FailureReason.not_here,
+_NOT_RUN: Final[dict[int, FailureReason]] = {
     HTTPStatus.SERVICE_UNAVAILABLE: FailureReason.shed,
     HTTPStatus.TOO_MANY_REQUESTS: FailureReason.shed,
 }
@@ -26,19 +25,31 @@
     Where a failure of the replica's own may be passed on it is an answer,
     unless the request is repeated elsewhere first.
     """
-    if response.header(names.not_run) is not None:
-        return _NOT_RUN.get(HTTPStatus(response.status), FailureReason.rejected)
-    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
-        return FailureReason.not_here
+    refusal = _refusal(response, names)
+    if refusal is not None:
+        return refusal
     if response.header(b'content-encoding') is not None:
         return FailureReason.garbled
     if response.status in SUCCESS:
-        if response.header(names.signature) is None:
-            return FailureReason.garbled
-        return None
-    if not must_be_success:
+        is_signed = response.header(names.signature) is not None
+        return None if is_signed else FailureReason.garbled
+    return _own_failure(response.status) if must_be_success else None
+
+
+def _refusal(
+    response: Response,
+    names: HeaderNames,
+) -> FailureReason | None:
+    """Return why a replica did not run the request; None if it may have."""
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return FailureReason.not_here
+    if response.header(names.not_run) is None:
         return None
-    if response.status == HTTPStatus.GATEWAY_TIMEOUT:
+    return _NOT_RUN.get(response.status, FailureReason.rejected)
+
+
+def _own_failure(status: int) -> FailureReason:
+    if status == HTTPStatus.GATEWAY_TIMEOUT:
         return FailureReason.cancelled
     return FailureReason.failed
 
--- a/packages/node/src/crocusroad_node/gateway/_request.py
+++ b/packages/node/src/crocusroad_node/gateway/_request.py
@@ -62,9 +62,9 @@
     header names, and those that are `replaced`.
     """
     named: set[bytes] = set()
-    for name, text in headers:
-        if name.lower() == b'connection':
-            named.update(one.strip().lower() for one in text.split(b','))
+    for header, words in headers:
+        if header.lower() == b'connection':
+            named.update(one.strip().lower() for one in words.split(b','))
     dropped = _PER_CONNECTION | replaced | named
     return [
         b'%b: %b\r\n' % (name, text)
--- a/packages/node/src/crocusroad_node/gateway/_sourced.py
+++ b/packages/node/src/crocusroad_node/gateway/_sourced.py
@@ -62,7 +62,9 @@
         wait: float,
     ) -> Result[Batch, StoreFault] | None:
         """Ask one source after the other; None if none answers."""
-        for source in self._ring.sources(monotonic()):
+        sources = self._ring.sources(monotonic())
+        while sources:
+            source = sources.pop(0)
             reply = await self._ask(source, prefix, after, wait)
             if isinstance(reply, Success):
                 STORE_CALLS.labels(prefix, 'relayed').inc()
--- a/packages/node/src/crocusroad_node/gateway/_store_http.py
+++ b/packages/node/src/crocusroad_node/gateway/_store_http.py
@@ -59,11 +59,12 @@
         self._pool.close()
 
     def _encode(self, method: str, target: str, body: bytes) -> bytes:
-        head = f'{method} {target} HTTP/1.1\r\nHost: {self._host}\r\n'
+        lines = [f'{method} {target} HTTP/1.1', f'Host: {self._host}']
         if body or method == 'POST':
-            head += 'Content-Type: application/json\r\n'
-            head += f'Content-Length: {len(body)}\r\n'
-        return f'{head}\r\n'.encode() + body
+            lines.append('Content-Type: application/json')
+            lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join((*lines, '', ''))
+        return b'%b%b' % (head.encode(), body)
 
 
 def _fault(reason: FailureReason) -> StoreFault:
--- a/packages/node/src/crocusroad_node/gateway/_warmer.py
+++ b/packages/node/src/crocusroad_node/gateway/_warmer.py
@@ -35,10 +35,12 @@
     async def run(self) -> None:
         """Open what is wanted, for ever."""
         while True:
-            for number, replica in enumerate(self._wanted(), 1):
-                self._pool(replica).warm(1)
-                if number % BATCH == 0:
-                    await asyncio.sleep(PAUSE_SECONDS)
+            wanted = self._wanted()
+            while wanted:
+                for replica in wanted[:BATCH]:
+                    self._pool(replica).warm(1)
+                wanted = wanted[BATCH:]
+                await asyncio.sleep(PAUSE_SECONDS)
             await asyncio.sleep(LOOK_SECONDS)
 
     def _wanted(self) -> list[Replica]:
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -21,7 +21,7 @@
 from crocusroad_node.gateway._dialect import Dialect
 from crocusroad_node.gateway._directory import Directory
 from crocusroad_node.gateway._fleet import Fleet, FleetKeyValue
-from crocusroad_node.gateway._follow import Follower
+from crocusroad_node.gateway._follow import Follower, Told
 from crocusroad_node.gateway._gateway import Gateway, Parts
 from crocusroad_node.gateway._leaving import leave
 from crocusroad_node.gateway._pages import metrics_page, ready_page
@@ -132,38 +132,17 @@
     fleet = Fleet(outside.kv, dialect.instances_prefix, own, on_members)
     reloader = Reloader(cfg, outside.reread, apply)
     _listen_to_signals(life, reloader)
-    note(_logger, 'start', zone=cfg.zone, listen=cfg.callers_listen)
-    servers = [
-        await _listen(cfg.callers_listen, door, gateway.begin),
-        await _listen(cfg.relay_listen, own_door, desk.begin),
-        await _listen(cfg.metrics_listen, own_door, metrics_page()),
-        await _listen(
-            cfg.ready_listen,
-            own_door,
-            ready_page(dialect.ready_path, state),
-        ),
-    ]
-    routes = ConfigBelief(directory, dialect)
-    replicas = ReplicaBelief(directory, dialect)
-    followers = (
-        Follower(
-            sourced,
-            dialect.config_key,
-            routes.take_listing,
-            routes.take_changes,
-            lambda is_reached: None,
-            desk=desk,
-        ),
-        Follower(
-            sourced,
-            dialect.replicas_prefix,
-            replicas.take_listing,
-            replicas.take_changes,
-            replicas.take_reach,
-            rest=lambda: GATHER_SECONDS if ring.is_reader else 0,
-            desk=desk,
+    ready = ready_page(dialect.ready_path, state)
+    servers = await _listen_all(
+        cfg,
+        (
+            (cfg.callers_listen, door, gateway.begin),
+            (cfg.relay_listen, own_door, desk.begin),
+            (cfg.metrics_listen, own_door, metrics_page()),
+            (cfg.ready_listen, own_door, ready),
         ),
     )
+    followers = _followers(sourced, ring, desk, directory, dialect)
     warmer = Warmer(cfg.instance, cfg.zone, directory, pools.pool)
     jobs = [one.run() for one in (*followers, fleet, reloader, warmer)]
     tasks = [asyncio.create_task(one) for one in jobs]
@@ -175,10 +154,52 @@
         task.cancel()
     for server in servers:
         server.close()
+    _finish(life, gateway)
+
+
+def _finish(life: NodeLife, gateway: Gateway) -> None:
     life.finish()
     note(_logger, 'stop', unanswered=gateway.in_flight)
 
 
+def _followers(
+    sourced: SourcedStore,
+    ring: SourceRing,
+    desk: RelayDesk,
+    directory: Directory,
+    dialect: Dialect,
+) -> tuple[Follower, Follower]:
+    routes = ConfigBelief(directory, dialect)
+    replicas = ReplicaBelief(directory, dialect)
+    return (
+        Follower(
+            sourced,
+            dialect.config_key,
+            Told(routes.take_listing, routes.take_changes),
+            desk,
+        ),
+        Follower(
+            sourced,
+            dialect.replicas_prefix,
+            Told(
+                replicas.take_listing,
+                replicas.take_changes,
+                replicas.take_reach,
+            ),
+            desk,
+            rest=lambda: GATHER_SECONDS if ring.is_reader else 0,
+        ),
+    )
+
+
+async def _listen_all(
+    cfg: GatewaySettings,
+    begins: tuple[tuple[Address, Door, Begin], ...],
+) -> list[asyncio.Server]:
+    note(_logger, 'start', zone=cfg.zone, listen=cfg.callers_listen)
+    return [await _listen(*one) for one in begins]
+
+
 def _listen_to_signals(
     life: NodeLife,
     reloader: Reloader[GatewaySettings],
--- a/packages/platform/src/crocusroad_platform/_fleet_store.py
+++ b/packages/platform/src/crocusroad_platform/_fleet_store.py
@@ -109,8 +109,9 @@
             'Remove': [key] if value is None else [],
         }
         if value is not None:
+            # A row without a lease bears 0.
             row = {'Key': key, 'Value': _encoded(value)}
-            body['SetKeys'] = [row | ({'LeaseId': int(lease)} if lease else {})]
+            body['SetKeys'] = [row | {'LeaseId': int(lease or 0)}]
         reply = await self._post('/-/kv-txn', body, _Written)
         return reply.map(lambda written: written.revision)
 
@@ -179,7 +180,7 @@
             query = _query(Prefix=prefix, **options, **after)
             target = f'/-/kv-range?{query}'
             reply = await self._http.exchange('GET', target, b'', CALL_SECONDS)
-            decoded = reply.bind(lambda one: _decoded(one, _Page))
+            decoded = reply.bind(_page)
             if not isinstance(decoded, Success):
                 return Failure(decoded.failure())
             page = decoded.unwrap()
@@ -201,6 +202,10 @@
         return Failure(StoreFault.unknown)
 
 
+def _page(response: Response) -> Result[_Page, StoreFault]:
+    return _decoded(response, _Page)
+
+
 def _entry(raw: _Item) -> Entry:
     if raw.is_removed or raw.value is None:
         return Entry(raw.key, None, raw.revision)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from contextlib import suppress
 
 from tests.support.fleet import ROUTES, route
 
@@ -32,9 +33,8 @@
     proc = soak.fleet.procs[name]
     proc.send_signal(signal.SIGTERM)
     soak.leaving.add(name)
-    began = time.monotonic()
-    while proc.poll() is None and time.monotonic() < began + 8:
-        await asyncio.sleep(0.05)
+    with suppress(AssertionError):
+        await soak.fleet.until(lambda: proc.poll() is not None, 8, name)
     if proc.poll() is None:
         soak.promises.fail(f'{name}: still runs 8 s after SIGTERM')
         proc.kill()
@@ -120,7 +120,7 @@
 
 
 async def steal_address(soak, draw):
-    """A replica dies, and one of another service is there before it is known."""
+    """A replica dies; another service's is there before that is known."""
     replica = draw.choice(soak.ready())
     fellows = [one for one in soak.ready() if one.service == replica.service]
     if len(fellows) < 2:
