--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -197,7 +197,7 @@
     begins: tuple[tuple[Address, Door, Begin], ...],
 ) -> list[asyncio.Server]:
     note(_logger, 'start', zone=cfg.zone, listen=cfg.callers_listen)
-    return [await _listen(*one) for one in begins]
+    return await asyncio.gather(*(_listen(*one) for one in begins))
 
 
 def _listen_to_signals(
