--- a/tests/features/steps/poison_fleet.py
+++ b/tests/features/steps/poison_fleet.py
@@ -28,7 +28,7 @@
 POLICY = Policy(
     lambda shard, candidates, now: candidates[0],
     lambda shard, now: None,
-    lambda now: True,
+    lambda shard, now: True,
     replace=lambda has_run, now: True,
 )
 
