Ask no more at an address that another service has taken over

Change: after a 421 a replica is not asked at that address for 10 s, even if no other is left. Test: a replica whose address is taken over; failed before.

--- a/packages/core/src/crocusroad_core/routing/_replica_state.py
+++ b/packages/core/src/crocusroad_core/routing/_replica_state.py
@@ -22,6 +22,10 @@
 PROBE_SECONDS: Final = 1.0  # between attempts against what health says
 DEAD_SECONDS: Final = 3600.0  # added to the score of one that looks dead
 
+# An address that another has taken over is not given back soon; requests
+# sent there are extra load on that one. Longer than a registration outlives
+# its replica.
+ABSENT_SECONDS: Final = 10.0
 # An answer that takes this many expected times is not merely slow.
 OVERDUE_FACTOR: Final = 2.0
 
@@ -32,6 +36,7 @@
     """One replica: own work on it, what it reports and what it showed."""
 
     __slots__ = (
+        '_absent_until',
         '_answered_at',
         '_backoff_until',
         '_drain_at',
@@ -68,6 +73,7 @@
         self._answered_at = now - LATENCY_SECONDS
         self._sent_at = now
         self._owed_since = inf  # oldest attempt without any answer since
+        self._absent_until = now
         self._failures = 0  # in a row
         self._backoff_until = now
         self._full_until = now
@@ -80,6 +86,14 @@
         """Tell whether any sign says that the replica is leaving."""
         return self.is_listed_leaving or now - self._drain_at < DRAIN_SECONDS
 
+    def is_absent(self, now: float) -> bool:
+        """Tell whether another one was lately found in its place."""
+        return now < self._absent_until
+
+    def take_absence(self, now: float) -> None:
+        """Take that another one answers at its address."""
+        self._absent_until = now + ABSENT_SECONDS
+
     def is_ready(self, now: float) -> bool:
         """Tell whether work may go here; after failures, one probe."""
         if now < self._full_until:
--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -24,7 +24,6 @@
         FailureReason.garbled,
         FailureReason.crossed,
         FailureReason.failed,
-        FailureReason.not_here,
     ),
 )
 # Seconds without work after a refusal for want of room.
@@ -73,7 +72,11 @@
         if not candidates:
             return None
         view = self._view(shard, candidates, now)
-        states = view.states_of(candidates)
+        states = [
+            one for one in view.states_of(candidates) if not one.is_absent(now)
+        ]
+        if not states:
+            return None
         staying = [one for one in states if not one.is_leaving(now)]
         if staying:
             return self._choose(staying, now)
@@ -133,6 +136,8 @@
             state.load.take_report(SHED_LOAD, replica.slots, now)
         elif reason is FailureReason.draining:
             state.take_drain(now)
+        elif reason is FailureReason.not_here:
+            state.take_absence(now)
         if reason.may_have_run:
             state.take_slower(latency, now)
 
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -55,6 +55,12 @@
     When 60 requests are made 3 seconds apart
     Then one replica got them all
 
+  Scenario: A replica whose address another has taken over is not asked on
+    Given a router that knows 2 replicas alike
+    When a request to one of them finds another in its place
+    Then every one of 50 further picks takes the other
+    And with the other gone as well nobody is picked until 10 seconds later
+
   Scenario: An answer goes out in time with the shards that are in
     Given a fan-out to 10 shards of which 0.8 are enough, due after 0.1 seconds
     When 9 of them answer at once
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -146,6 +146,26 @@
     context.now = 10 + times * USUAL
 
 
+@when('a request to one of them finds another in its place')
+def step_absent(context):
+    context.now = 20
+    context.router.on_sent(context.all[0], context.now)
+    context.router.on_lost(
+        context.all[0], FailureReason.not_here, 0.0, context.now
+    )
+
+
+@then(
+    'with the other gone as well nobody is picked until {seconds:g} seconds'
+    ' later'
+)
+def step_nobody(context, seconds):
+    alone = context.all[:1]
+    router = context.router
+    assert router.pick('s', alone, context.now + seconds - 0.1) is None
+    assert router.pick('s', alone, context.now + seconds + 0.1) == alone[0]
+
+
 @then('every one of {count:d} further picks takes the other')
 def step_avoided(context, count):
     for _ in range(count):
