Share the wake timer, one answer type and the followed part of the store's port

Cause: the last reading found the gather's timer written twice (driver of a search, query of a gateway), three copies of the answer type and of the function that stops nothing, list and watch declared twice, two constants of one name and different values, and members that nobody uses.

Change: WakeTimer serves both; Answer and nothing_to_stop stand in _reply; KeyValue extends Followed; HELD_UP_SECONDS in the gateway. Behaviour as before.

--- a/packages/node/src/crocusroad_node/exchanges/_pool.py
+++ b/packages/node/src/crocusroad_node/exchanges/_pool.py
@@ -57,11 +57,6 @@
         self._open = 0  # connections open or being opened
         self._is_closed = False
 
-    @property
-    def open_count(self) -> int:
-        """Return how many connections are open or being opened."""
-        return self._open
-
     @property
     def has_rested(self) -> bool:
         """Tell whether a connection is at rest, ready to be used."""
--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -9,7 +9,7 @@
 import httptools
 
 from crocusroad_core.routes import RequestLimits
-from crocusroad_node.gateway._reply import Reply, encode_reply, refuse
+from crocusroad_node.gateway._reply import Answer, Reply, encode_reply, refuse
 from crocusroad_node.gateway._request import CallerRequest
 
 MAX_WAITING: Final = 4  # requests sent ahead on one connection
@@ -17,7 +17,7 @@
 # Begins the work on a request; the answer goes to the function given.
 # Returns a function that stops the work because the caller has left.
 Begin = Callable[
-    [CallerRequest, Callable[[Reply], None]],
+    [CallerRequest, Answer],
     Callable[[], None],
 ]
 
--- a/packages/node/src/crocusroad_node/gateway/_follow.py
+++ b/packages/node/src/crocusroad_node/gateway/_follow.py
@@ -3,13 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from typing import Final, NamedTuple, Protocol
+from typing import Final, NamedTuple
 
 from returns.result import Result, Success
 
 from crocusroad_node.counters import STORE_CALLS
 from crocusroad_node.gateway._relay_desk import RelayDesk
-from crocusroad_node.kv import Batch, Entry, StoreFault
+from crocusroad_node.kv import Batch, Entry, Followed, StoreFault
 from crocusroad_node.logs import note
 
 _logger = logging.getLogger(__name__)
@@ -22,21 +22,6 @@
 MOST_PAUSE: Final = 0.8
 
 
-class Followed(Protocol):
-    """What is followed: the store, or the instances that read it."""
-
-    async def list(self, prefix: str) -> Result[Batch, StoreFault]:
-        """Return every entry below a prefix; see `KeyValue`."""
-
-    async def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait: float,
-    ) -> Result[Batch, StoreFault]:
-        """Return the changes after a revision; see `KeyValue`."""
-
-
 def _no_rest() -> float:
     return 0
 
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -22,7 +22,13 @@
 )
 from crocusroad_node.gateway._policies import Policies
 from crocusroad_node.gateway._query import Query, Reach, Task
-from crocusroad_node.gateway._reply import Reply, pass_on, refuse
+from crocusroad_node.gateway._reply import (
+    Answer,
+    Reply,
+    nothing_to_stop,
+    pass_on,
+    refuse,
+)
 from crocusroad_node.gateway._report import report
 from crocusroad_node.gateway._request import CallerRequest
 
@@ -37,9 +43,7 @@
 FRESH_SECONDS: Final = 1.0
 
 # An answer later than this was not held up by the instance, in seconds.
-MOST_MARGIN: Final = 0.05
-
-Answer = Callable[[Reply], None]
+HELD_UP_SECONDS: Final = 0.05
 
 
 def _failed(outcome: Outcome) -> Reply:
@@ -60,10 +64,6 @@
     turns: WeightedTurns
 
 
-def _nothing() -> None:
-    """Stop nothing: the request was answered at once."""
-
-
 class Gateway:
     """Finds the route of each request, asks replicas and answers."""
 
@@ -82,21 +82,19 @@
             REFUSALS.labels('no-configuration').inc()
             report(req, self._id(req), version=0, outcome='no configuration')
             answer(refuse(503, 'no configuration is known', UNKNOWN_SECONDS))
-            return _nothing
+            return nothing_to_stop
         version = table.version
         route = table.find(req.host, req.path)
         if route is None:
             REFUSALS.labels('no-route').inc()
-            report(
-                req, self._id(req), version=table.version, outcome='no route'
-            )
+            report(req, self._id(req), version=version, outcome='no route')
             answer(refuse(404, 'no route'))
-            return _nothing
+            return nothing_to_stop
         if not self._id(req):
             REFUSALS.labels('no-id').inc()
             report(req, b'', version=version, outcome='no id')
             answer(refuse(400, 'the request has no id'))
-            return _nothing
+            return nothing_to_stop
         shards = route.shards or (self._parts.turns.next_service(route),)
         return self._ask(req, Target(table, route, shards), answer)
 
@@ -164,7 +162,7 @@
         reply = self._reply(target, query, finish)
         answer(reply)
         late = self._clock() - due
-        if 0 <= late < MOST_MARGIN:
+        if 0 <= late < HELD_UP_SECONDS:
             self._punctuality(target.route).record(late)
         report(
             req,
--- a/packages/node/src/crocusroad_node/gateway/_pages.py
+++ b/packages/node/src/crocusroad_node/gateway/_pages.py
@@ -6,13 +6,16 @@
 from prometheus_client import generate_latest
 
 from crocusroad_node.gateway._connection import Begin
-from crocusroad_node.gateway._reply import Reply, refuse
+from crocusroad_node.gateway._reply import (
+    Answer,
+    Reply,
+    nothing_to_stop,
+    refuse,
+)
 from crocusroad_node.gateway._request import CallerRequest
 
 METRICS_PATH = '/metrics'
 
-Answer = Callable[[Reply], None]
-
 
 def ready_page(path: str, state: Callable[[], str]) -> Begin:
     """Return the handler of the balancer's question.
@@ -28,7 +31,7 @@
             answer(refuse(HTTPStatus.SERVICE_UNAVAILABLE, why_not))
         else:
             answer(Reply(HTTPStatus.OK))
-        return _nothing
+        return nothing_to_stop
 
     return begin
 
@@ -42,10 +45,6 @@
             answer(Reply(HTTPStatus.OK, (text,), generate_latest()))
         else:
             answer(refuse(HTTPStatus.NOT_FOUND, 'no such page'))
-        return _nothing
+        return nothing_to_stop
 
     return begin
-
-
-def _nothing() -> None:
-    """Stop nothing: the answer was given."""
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -30,6 +30,7 @@
 from crocusroad_node.gateway._dialect import HeaderNames
 from crocusroad_node.gateway._heads import Encode
 from crocusroad_node.gateway._judge import judge, read_load
+from crocusroad_node.wake_timer import WakeTimer
 
 
 class Reach(NamedTuple):
@@ -90,8 +91,7 @@
         self._on_finish: Callable[[Finish], None] | None = on_finish
         self._loop = asyncio.get_running_loop()
         self._calls: dict[int, Call] = {}
-        self._timer: asyncio.TimerHandle | None = None
-        self._wake_at: float = 0
+        self._timer = WakeTimer(self._tick)
 
     def begin(self) -> None:
         """Send the first attempts."""
@@ -100,7 +100,7 @@
     def stop(self) -> None:
         """Stop the work everywhere: the caller has left."""
         self._on_finish = None
-        self._stop_timer()
+        self._timer.stop()
         for call in self._calls.values():
             call.kill()
         self._calls.clear()
@@ -113,7 +113,8 @@
                 self._cancel(command.attempt)
             else:
                 self._finish(command)
-        self._set_timer()
+        if self._on_finish is not None:
+            self._timer.set(self._gather.next_wake())
 
     def _send(self, attempt: Attempt, deadline: float) -> None:
         replica = attempt.replica
@@ -210,7 +211,7 @@
         self._carry_out(self._gather.on_lost(lost, now))
 
     def _finish(self, finish: Finish) -> None:
-        self._stop_timer()
+        self._timer.stop()
         on_finish = self._on_finish
         self._on_finish = None
         if on_finish is not None:
@@ -223,20 +224,8 @@
             trace = Trace(attempt.shard, replica, role, outcome, round(took, 4))
             self.traces.append(trace)
 
-    def _set_timer(self) -> None:
-        if self._on_finish is None:
-            return
-        wake = self._gather.next_wake()
-        if self._timer is not None:
-            if self._wake_at <= wake:
-                return  # fires early at worst, and is set again then
-            self._timer.cancel()
-        self._wake_at = wake
-        self._timer = self._loop.call_at(wake, self._tick)
-
     def _tick(self) -> None:
-        self._timer = None
-        if monotonic() - self._wake_at > LATE_TICK_SECONDS:
+        if monotonic() - self._timer.due > LATE_TICK_SECONDS:
             # Answers may lie unread: they are taken before more is asked.
             self._loop.call_later(READ_SECONDS, self._act)
         else:
@@ -247,11 +236,6 @@
             return
         self._carry_out(self._gather.on_tick(monotonic()))
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
 
 def _ignore(ending: Ending) -> None:
     """Care for nothing: the call was not sent."""
--- a/packages/node/src/crocusroad_node/gateway/_relay_desk.py
+++ b/packages/node/src/crocusroad_node/gateway/_relay_desk.py
@@ -11,7 +11,12 @@
 
 from crocusroad_core.kv import Entry
 from crocusroad_core.sources import StoreCopy
-from crocusroad_node.gateway._reply import Reply, refuse
+from crocusroad_node.gateway._reply import (
+    Answer,
+    Reply,
+    nothing_to_stop,
+    refuse,
+)
 from crocusroad_node.gateway._request import CallerRequest
 from crocusroad_node.kv import Batch
 
@@ -22,8 +27,6 @@
 LIST: Final = -1  # in the place of a revision: tell everything
 MAX_WAIT: Final = 5.0  # seconds that an instance may wait for a change
 
-Answer = Callable[[Reply], None]
-
 
 class RelayBatch(msgspec.Struct):
     """A batch as it goes from one instance to another."""
@@ -79,10 +82,10 @@
             wait = min(MAX_WAIT, float(query['wait'][0]))
         except (KeyError, ValueError):
             answer(refuse(400, 'wanted: prefix, after and wait'))
-            return _nothing
+            return nothing_to_stop
         if parts.path != RELAY_PATH:
             answer(refuse(404, 'no such page'))
-            return _nothing
+            return nothing_to_stop
         return self._tell(prefix, after, wait, answer)
 
     def _tell(
@@ -95,7 +98,7 @@
         reply = self._reply(prefix, after, is_due=wait <= 0)
         if reply is not None:
             answer(reply)
-            return _nothing
+            return nothing_to_stop
         waiting = self._waiting.setdefault(prefix, [])
 
         def expire() -> None:
@@ -143,7 +146,3 @@
     # A configuration of hundreds of services, told to a whole zone at once,
     # would hold a narrow link for the better part of a second.
     return Reply(200, (), zlib.compress(msgspec.json.encode(batch), 1))
-
-
-def _nothing() -> None:
-    """Stop nothing: the answer was given."""
--- a/packages/node/src/crocusroad_node/gateway/_reply.py
+++ b/packages/node/src/crocusroad_node/gateway/_reply.py
@@ -1,5 +1,6 @@
 """What a caller is answered."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -16,6 +17,13 @@
     must_close: bool = False
 
 
+Answer = Callable[[Reply], None]
+
+
+def nothing_to_stop() -> None:
+    """Stop nothing: the request was answered at once."""
+
+
 def pass_on(response: Response, internal: frozenset[bytes]) -> Reply:
     """Return a replica's response for the caller, without `internal`."""
     kept = tuple(
--- a/packages/node/src/crocusroad_node/gateway/_sourced.py
+++ b/packages/node/src/crocusroad_node/gateway/_sourced.py
@@ -1,6 +1,5 @@
 """The store, asked through the instances that read it."""
 
-import asyncio
 import logging
 import zlib
 from time import monotonic
@@ -33,7 +32,6 @@
     def __init__(self, kv: KeyValue, ring: SourceRing) -> None:
         self._kv = kv
         self._ring = ring
-        self._loop = asyncio.get_running_loop()
         self._links: dict[str, StoreHttp] = {}  # by address
 
     async def list(self, prefix: str) -> Result[Batch, StoreFault]:
--- a/packages/node/src/crocusroad_node/gathers/_driver.py
+++ b/packages/node/src/crocusroad_node/gathers/_driver.py
@@ -19,6 +19,7 @@
 from crocusroad_node.counters import ATTEMPT_FAULTS, LOST
 from crocusroad_node.gathers._observer import Observer
 from crocusroad_node.upstreams import QueryResult, Upstreams
+from crocusroad_node.wake_timer import WakeTimer
 from crocusroad_wire import UpstreamAnswer, UpstreamQuery
 
 # Builds the message of an attempt: (attempt, seconds left).
@@ -57,8 +58,7 @@
         self._loop = asyncio.get_running_loop()
         self._done: asyncio.Future[Finish] = self._loop.create_future()
         self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._timer: asyncio.TimerHandle | None = None
-        self._wake_at: float = 0  # seconds, clock of the loop
+        self._timer = WakeTimer(self._tick)
 
     async def run(self) -> Finish:
         """Run to the end."""
@@ -67,8 +67,7 @@
 
     def stop(self) -> None:
         """Stop the timer and every attempt."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.stop()
         for task in self._tasks.values():
             task.cancel()
 
@@ -80,7 +79,8 @@
                 self._cancel(command.attempt.serial)
             elif not self._done.done():
                 self._done.set_result(command)
-        self._set_timer()
+        if not self._done.done():
+            self._timer.set(self._gather.next_wake())
 
     def _send(self, command: Send) -> None:
         task = self._loop.create_task(self._attempt(command))
@@ -136,17 +136,5 @@
         self._observer.failed(attempt, reason, now)
         return self._gather.on_lost(Lost(attempt.serial, reason), now)
 
-    def _set_timer(self) -> None:
-        if self._done.done():
-            return
-        wake = self._gather.next_wake()
-        if self._timer is not None:
-            if self._wake_at <= wake:
-                return  # fires early at worst, and is set again then
-            self._timer.cancel()
-        self._wake_at = wake
-        self._timer = self._loop.call_at(wake, self._tick)
-
     def _tick(self) -> None:
-        self._timer = None
         self._carry_out(self._gather.on_tick(self._loop.time()))
--- a/packages/node/src/crocusroad_node/kv/__init__.py
+++ b/packages/node/src/crocusroad_node/kv/__init__.py
@@ -3,6 +3,6 @@
 from crocusroad_core.kv import Entry
 from crocusroad_node.kv._entry import Batch
 from crocusroad_node.kv._fault import StoreFault
-from crocusroad_node.kv._port import KeyValue
+from crocusroad_node.kv._port import Followed, KeyValue
 
-__all__ = ['Batch', 'Entry', 'KeyValue', 'StoreFault']
+__all__ = ['Batch', 'Entry', 'Followed', 'KeyValue', 'StoreFault']
--- a/packages/node/src/crocusroad_node/kv/_port.py
+++ b/packages/node/src/crocusroad_node/kv/_port.py
@@ -8,7 +8,22 @@
 from crocusroad_node.kv._fault import StoreFault
 
 
-class KeyValue(Protocol):
+class Followed(Protocol):
+    """What can be followed: the service, or whoever tells its news on."""
+
+    async def list(self, prefix: str) -> Result[Batch, StoreFault]:
+        """Return every entry below a prefix and the store's revision."""
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[Batch, StoreFault]:
+        """Return the changes after a revision; wait `wait` seconds for one."""
+
+
+class KeyValue(Followed, Protocol):
     """The platform's key-value service.
 
     Each method is one call to the service. Revisions are those of the whole
@@ -18,9 +33,6 @@
     async def read(self, key: str) -> Result[Entry | None, StoreFault]:
         """Return an entry, or None if there is none."""
 
-    async def list(self, prefix: str) -> Result[Batch, StoreFault]:
-        """Return every entry below a prefix and the store's revision."""
-
     async def swap(
         self,
         key: str,
@@ -33,14 +45,6 @@
         A value of None deletes the key. Returns the revision of the write.
         """
 
-    async def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait: float,
-    ) -> Result[Batch, StoreFault]:
-        """Return the changes after a revision; wait `wait` seconds for one."""
-
     async def grant(self, ttl: float) -> Result[str, StoreFault]:
         """Return a new lease that lapses after `ttl` seconds."""
 
