Count the instances again soon after the number has changed

Gateways that start in the same moment each list the few that entered before them and took that for settled for 6 s: each held itself for a reader of the store and shared the budget among too few. Change: a count that has changed is taken again after 1 s until it stands.

--- a/packages/node/src/crocusroad_node/gateway/_fleet.py
+++ b/packages/node/src/crocusroad_node/gateway/_fleet.py
@@ -17,7 +17,8 @@
 # An entry outlives two renewals that fail, in seconds.
 LEASE_SECONDS: Final = 18.0
 RENEW_SECONDS: Final = 6.0
-# After a fault the next try comes sooner.
+# After a fault the next try comes sooner; so it does while instances come and
+# go, which is when they start together and each sees only a few others.
 RETRY_SECONDS: Final = 1.0
 
 
@@ -99,7 +100,8 @@
             return False
         found = (self._member(one) for one in listed.unwrap().entries)
         members = [one for one in found if one is not None]
-        if len(members) != self._count:
+        is_settled = len(members) == self._count
+        if not is_settled:
             note(
                 _logger,
                 'instances',
@@ -109,7 +111,8 @@
             self._count = len(members)
         self._on_members(members)
         # A cheap listing may be older than this instance's own entry.
-        return any(one.name == self._own.name for one in members)
+        names = {one.name for one in members}
+        return is_settled and self._own.name in names
 
     def _member(self, entry: Entry) -> Member | None:
         name = entry.key.removeprefix(self._prefix)
