--- a/tests/features/fleet_processes.feature
+++ b/tests/features/fleet_processes.feature
@@ -152,3 +152,8 @@
     When its settings are mended with another grace and it is told so
     Then its log says "settings read again"
     And the gateway still serves
+
+  Scenario: A gateway that is told to stop while it starts ends cleanly
+    Given a fleet with 1 gateway
+    When another gateway is told to stop as soon as it catches the signal
+    Then that gateway ends with 0 within 5 seconds
--- a/tests/features/steps/fleet_processes.py
+++ b/tests/features/steps/fleet_processes.py
@@ -4,6 +4,7 @@
 import signal
 import tempfile
 import time
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -14,6 +15,7 @@
     ROUTES,
     SHARDS,
     Fleet,
+    catches_stop,
     exchange,
     read_answer,
     route,
@@ -556,3 +558,20 @@
 @then('the gateway still serves')
 def step_serves(context):
     assert run(context, context.fleet.ask('g0', '/one/1')).status == 200
+
+
+@when('another gateway is told to stop as soon as it catches the signal')
+def step_stop_at_start(context):
+    fleet = context.fleet
+    fleet.spawn('g9')
+    proc = fleet.procs['g9']
+    run(context, fleet.until(lambda: catches_stop(proc.pid), 10, 'a handler'))
+    loaded = Path(f'/proc/{proc.pid}/maps').read_text()
+    proc.terminate()
+    assert 'uvloop' not in loaded, 'caught only when the start is over'
+
+
+@then('that gateway ends with {code:d} within {seconds:d} seconds')
+def step_ended(context, code, seconds):
+    proc = context.fleet.procs['g9']
+    assert proc.wait(seconds) == code, proc.returncode
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,7 +5,7 @@
 import time
 from contextlib import suppress
 
-from tests.support.fleet import ROUTES, route
+from tests.support.fleet import ROUTES, catches_stop, route
 
 OLDER_SECONDS = 0.6  # a store that is right again keeps what it acknowledged
 
@@ -45,6 +45,8 @@
     if name is None:
         return
     proc = soak.fleet.procs[name]
+    if not catches_stop(proc.pid):
+        return  # not a line of the program has run: the signal ends it
     proc.send_signal(signal.SIGTERM)
     soak.leaving.add(name)
     with suppress(AssertionError):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -238,3 +238,11 @@
     size = int(headers.get('content-length', 0))
     body = await reader.readexactly(size)
     return Answer(int(first.split()[1]), headers, body)
+
+
+def catches_stop(pid):
+    """Tell whether a process has a handler for SIGTERM."""
+    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('SigCgt:'):
+            return bool(int(line.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
+    return False
