Send hedges when they are worth most, and let answers go out when they are due

Change: lateness is recorded of answers that were ready; hedges are timed back from the moment an answer is due by what hedges take (early only while two tokens are left); half of the slack comes back with time, within the bound. Tests play the pauses and the waiting answer; the budget's property now also moves time.

--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -98,7 +98,9 @@
             pools[replica.address] = found
         return found
 
-    reach = Reach(DIALECT.headers, router, pool, policies.record)
+    reach = Reach(
+        DIALECT.headers, router, pool, policies.record, policies.record_hedge
+    )
     turns = WeightedTurns(Random(2).random)
     parts = Parts(DIALECT, directory, reach, policies, budget, turns)
     return Gateway(parts, loop.time)
--- a/packages/core/src/crocusroad_core/gather/_gather.py
+++ b/packages/core/src/crocusroad_core/gather/_gather.py
@@ -28,12 +28,18 @@
         self._restart = Restart(self._flight)
         self._is_finished = False
         self._is_due = False  # an answer with enough shards may go out
+        self._has_waited = False  # it was due, and too few shards were in
 
     @property
     def is_finished(self) -> bool:
         """Tell whether the answer was given."""
         return self._is_finished
 
+    @property
+    def has_waited(self) -> bool:
+        """Tell whether the answer was due and lacked shards."""
+        return self._has_waited
+
     @property
     def running(self) -> dict[int, Attempt]:
         """Return the attempts in flight by their serial."""
@@ -83,7 +89,9 @@
         for shard in self._flight.alarms.pop_due(now):
             if parts is self._flight.parts:  # else the query has started over
                 commands.extend(self._wake(parts[shard], now))
-        return self._settle(commands, now)
+        commands = self._settle(commands, now)
+        self._has_waited = self._is_due and not self._is_finished
+        return commands
 
     def _wake(self, part: Part, now: float) -> list[Command]:
         if part.running:
--- a/packages/core/src/crocusroad_core/repeats/_budget.py
+++ b/packages/core/src/crocusroad_core/repeats/_budget.py
@@ -2,11 +2,19 @@
 
 from typing import Final, NamedTuple
 
-# Part of the bound that an instance may save up. The rest is for instances
-# that restart: each begins with a quarter of its part, so that a whole fleet
-# may restart once in a window.
+# Part of the bound that is used. The rest is for instances that restart: each
+# begins with a quarter of its part, so that a whole fleet may restart once in
+# a window.
 USED_SHARE: Final = 0.8
 START_SHARE: Final = 0.25
+# Of an instance's part of the slack, what may be saved up. The rest comes back
+# with time: troubles outlast a window, and the slack is there in each one.
+SAVED_SHARE: Final = 0.5
+# Repeats that may be saved up at least, where the part is that large: less
+# than one would never be spent.
+LEAST_SAVED: Final = 1.2
+# Tokens below which there is none to spend on what is merely likely.
+PLENTY: Final = 2.0
 LEAST_INSTANCES: Final = 8  # to share the fixed part among until counted
 
 
@@ -21,24 +29,35 @@
     window: float  # seconds
 
 
+class _Account(NamedTuple):
+    tokens: float
+    at: float  # seconds; when they were counted
+
+
 class RepeatBudget:
     """Tokens for repeats by service.
 
-    Each request for a service earns a share of a token. Tokens beyond this
-    instance's part of the slack are lost, so that over any window the repeats
-    are at most that part plus the share of the window's requests.
+    Each request for a service earns a share of a token, and time brings some
+    back. What is saved up and what time brings in a window are together this
+    instance's part of the slack, so that over any window the repeats are at
+    most that part plus the share of the window's requests.
     """
 
     def __init__(self, bounds: RepeatBounds) -> None:
         self._bounds = bounds
         self._instances = LEAST_INSTANCES
-        self._tokens: dict[str, float] = {}
+        self._accounts: dict[str, _Account] = {}
 
     @property
     def part(self) -> float:
-        """Return the tokens that may be saved up for a service."""
+        """Return this instance's part of the slack, in tokens."""
         return self._bounds.slack * USED_SHARE / self._instances
 
+    @property
+    def most(self) -> float:
+        """Return the tokens that may be saved up for a service."""
+        return min(self.part, max(self.part * SAVED_SHARE, LEAST_SAVED))
+
     def on_instances(self, count: int) -> None:
         """Take the number of instances that share the slack."""
         self._instances = max(LEAST_INSTANCES, count)
@@ -47,20 +66,27 @@
         """Take other bounds."""
         self._bounds = bounds
 
-    def earn(self, service: str) -> None:
+    def earn(self, service: str, now: float) -> None:
         """Count a request for a service."""
-        saved = self._tokens.get(service, self.part * START_SHARE)
-        earned = saved + self._bounds.share * USED_SHARE
-        self._tokens[service] = min(earned, self.part)
+        earned = self._saved(service, now) + self._bounds.share * USED_SHARE
+        self._accounts[service] = _Account(min(earned, self.most), now)
 
     def spend(self, service: str, now: float) -> bool:
         """Take one repeat; False if there is none left."""
-        saved = self._tokens.get(service, float(0))
+        saved = self._saved(service, now)
         if saved < 1:
             return False
-        self._tokens[service] = saved - 1
+        self._accounts[service] = _Account(saved - 1, now)
         return True
 
-    def is_scarce(self, service: str) -> bool:
-        """Tell whether less than half of what may be saved is left."""
-        return self._tokens.get(service, float(0)) < self.part / 2
+    def is_scarce(self, service: str, now: float) -> bool:
+        """Tell whether a repeat would leave little or none for the next."""
+        return self._saved(service, now) < max(PLENTY, self.most / 2)
+
+    def _saved(self, service: str, now: float) -> float:
+        account = self._accounts.get(service)
+        if account is None:
+            return self.part * START_SHARE
+        back = (self.part - self.most) / self._bounds.window
+        brought = back * max(0, now - account.at)
+        return min(self.most, account.tokens + brought)
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -42,9 +42,6 @@
 # meanwhile would leave open whether it ran.
 FRESH_SECONDS: Final = 1.0
 
-# An answer later than this was not held up by the instance, in seconds.
-HELD_UP_SECONDS: Final = 0.05
-
 
 def _failed(outcome: Outcome) -> Reply:
     REFUSALS.labels(outcome.value).inc()
@@ -106,14 +103,15 @@
     ) -> Callable[[], None]:
         parts = self._parts
         route = target.route
+        now = self._clock()
         for shard in target.shards:
-            parts.budget.earn(shard)
+            parts.budget.earn(shard, now)
         header = parts.dialect.headers.deadline
         times = Times(req.received_at, deadline_of(req, route, header))
         punctual = self._punctuality(route)
         plan = plan_for(target, parts.directory, times, punctual.margin)
         query = Query(
-            Gather(plan, parts.policies.policy_for(route)),
+            Gather(plan, parts.policies.policy_for(route, plan.answer_by)),
             self._task(req, route),
             parts.reach,
             lambda finish: self._finish(
@@ -162,7 +160,7 @@
         reply = self._reply(target, query, finish)
         answer(reply)
         late = self._clock() - due
-        if 0 <= late < HELD_UP_SECONDS:
+        if late >= 0 and not query.has_waited:
             self._punctuality(target.route).record(late)
         report(
             req,
--- a/packages/node/src/crocusroad_node/gateway/_policies.py
+++ b/packages/node/src/crocusroad_node/gateway/_policies.py
@@ -1,14 +1,11 @@
 """The policy of each route: which replica, when a second one, at what cost."""
 
+from collections import defaultdict
+
 from crocusroad_core.gather import Policy
 from crocusroad_core.repeats import RepeatBudget
 from crocusroad_core.routes import Route
-from crocusroad_core.routing import LatencyTrack, Router
-
-# A second replica is asked early enough for its answer to be in time: at this
-# share of the objective at the latest, and at this one at the soonest.
-LATEST_HEDGE = 0.5
-SOONEST_HEDGE = 0.3
+from crocusroad_core.routing import HedgeTiming, LatencyTrack, Router
 
 
 class Policies:
@@ -17,17 +14,22 @@
     def __init__(self, router: Router, budget: RepeatBudget) -> None:
         self._router = router
         self._budget = budget
-        self._tracks: dict[str, LatencyTrack] = {}  # by route
+        # By name of the route.
+        self._tracks: defaultdict[str, LatencyTrack] = defaultdict(LatencyTrack)
+        self._timings: defaultdict[str, HedgeTiming] = defaultdict(HedgeTiming)
 
-    def policy_for(self, route: Route) -> Policy:
-        """Return the policy of a route."""
-        track = self._track(route.name)
+    def policy_for(self, route: Route, answer_by: float) -> Policy:
+        """Return the policy of a route for a query due at a moment."""
+        track = self._tracks[route.name]
+        timing = self._timings[route.name]
 
         def hedge_delay(shard: str, now: float) -> float:
-            is_scarce = self._budget.is_scarce(shard)
-            delay = track.scarce_delay if is_scarce else track.hedge_delay
-            latest = LATEST_HEDGE * route.objective
-            return min(latest, max(SOONEST_HEDGE * route.objective, delay))
+            return timing.delay(
+                track.hedge_delay,
+                answer_by - now,
+                route.objective,
+                is_scarce=self._budget.is_scarce(shard, now),
+            )
 
         return Policy(
             pick=self._router.pick,
@@ -38,11 +40,18 @@
 
     def record(self, route: str, seconds: float) -> None:
         """Take the latency of an answer."""
-        self._track(route).record(seconds)
-
-    def _track(self, route: str) -> LatencyTrack:
-        track = self._tracks.get(route)
-        if track is None:
-            track = LatencyTrack()
-            self._tracks[route] = track
-        return track
+        self._tracks[route].record(seconds)
+
+    def record_hedge(
+        self,
+        route: str,
+        seconds: float,
+        *,
+        is_answered: bool,
+    ) -> None:
+        """Take how long a hedge took, or was waited for in vain."""
+        timing = self._timings[route]
+        if is_answered:
+            timing.take_answer(seconds)
+        else:
+            timing.take_unanswered(seconds)
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from time import monotonic
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather import (
@@ -33,6 +33,19 @@
 from crocusroad_node.wake_timer import WakeTimer
 
 
+class RecordHedge(Protocol):
+    """Takes how long a hedge took."""
+
+    def __call__(
+        self,
+        route: str,
+        seconds: float,
+        *,
+        is_answered: bool,
+    ) -> None:
+        """Take the seconds from its sending to its answer or its end."""
+
+
 class Reach(NamedTuple):
     """How replicas are reached and what is learned of them."""
 
@@ -40,6 +53,7 @@
     router: Router
     pool: Callable[[Replica], LinkPool]
     record_latency: Callable[[str, float], None]  # (route, seconds)
+    record_hedge: RecordHedge
 
 
 class Task(NamedTuple):
@@ -93,6 +107,11 @@
         self._calls: dict[int, Call] = {}
         self._timer = WakeTimer(self._tick)
 
+    @property
+    def has_waited(self) -> bool:
+        """Tell whether the answer was due and lacked shards."""
+        return self._gather.has_waited
+
     def begin(self) -> None:
         """Send the first attempts."""
         self._carry_out(self._gather.begin(monotonic()))
@@ -146,6 +165,9 @@
         now = monotonic()
         took = now - attempt.sent_at
         self._trace(attempt, 'given up', took)
+        is_missed = attempt.shard not in self.answers
+        if attempt.role is AttemptRole.hedge and is_missed:
+            self._reach.record_hedge(self._task.route, took, is_answered=False)
         replica = attempt.replica
         router = self._reach.router
         if not call.is_sent:
@@ -190,8 +212,11 @@
         load = read_load(response, self._reach.names)
         self._reach.router.on_reply(attempt.replica, took, load, now)
         self._reach.record_latency(self._task.route, took)
-        if attempt.role != 'first':
+        if attempt.role is not AttemptRole.first:
             self._trace(attempt, 'answered', took)
+        if attempt.role is AttemptRole.hedge:
+            whole = now - attempt.sent_at
+            self._reach.record_hedge(self._task.route, whole, is_answered=True)
         self.answers[attempt.shard] = response
         records = self._task.read(response)
         reply = Reply(attempt.serial, attempt.shard, attempt.version, records)
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -104,7 +104,13 @@
         monotonic,
     )
     policies = Policies(router, budget)
-    reach = Reach(dialect.headers, router, pools.pool, policies.record)
+    reach = Reach(
+        dialect.headers,
+        router,
+        pools.pool,
+        policies.record,
+        policies.record_hedge,
+    )
     turns = WeightedTurns(random.random)
     parts = Parts(dialect, directory, reach, policies, budget, turns)
     gateway = Gateway(parts, monotonic)
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -79,3 +79,30 @@
 
   Scenario: The margin before an answer follows how late answers go out
     Then a punctual instance begins 15 ms early, one that is 20 ms late 35 ms
+
+  Scenario: An answer that waits for shards was not held up by the instance
+    Given a fan-out to 10 shards of which 0.8 are enough, due after 0.1 seconds
+    When 7 of them answer at once
+    Then at 0.1 seconds it waits, and the eighth answer ends it
+
+  Scenario: An answer that goes out when it is due has not waited
+    Given a fan-out to 10 shards of which 0.8 are enough, due after 0.1 seconds
+    When 9 of them answer at once
+    Then at 0.1 seconds it goes out without having waited
+
+  Scenario: Hedges wait while little of the budget is left
+    Given hedges of a route that take 40 ms
+    Then with plenty left one is sent after 60 ms, the usual time of an answer
+    And with little left one is sent as late as 40 ms before the answer is due
+
+  Scenario: Hedges that come too late are sent earlier from then on
+    Given hedges of a route that take 40 ms
+    When half of them are given up after 40 ms
+    Then with little left one is sent earlier than before
+
+  # 90 shards of three replicas, each paused for 200 ms in each 4.5 s; repeats
+  # may be 0.16 of the requests.
+  Scenario: A query to 90 shards of which some pause is whole when it is due
+    Given 400 queries to 90 shards whose replicas pause for 4.4% of the time
+    Then with hedges by their timing at least 99% of the shards are in
+    And with hedges at 0.3 of the objective fewer are
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -289,3 +289,20 @@
     assert round(margin.margin * 1000) == least
     margin.record(5.0)
     assert margin.margin <= 0.045
+
+
+@then('at {now:g} seconds it waits, and the eighth answer ends it')
+def step_waits(context, now):
+    gather = context.gather
+    assert finish_of(gather.on_tick(now)) is None
+    assert gather.has_waited
+    attempt = next(iter(gather.running.values()))
+    reply = Reply(attempt.serial, attempt.shard, 1, [b'r'])
+    assert finish_of(gather.on_reply(reply, now + 0.03))
+    assert gather.has_waited
+
+
+@then('at {now:g} seconds it goes out without having waited')
+def step_goes_out(context, now):
+    assert finish_of(context.gather.on_tick(now))
+    assert not context.gather.has_waited
--- a/tests/properties/fleet.py
+++ b/tests/properties/fleet.py
@@ -133,7 +133,11 @@
 
 @given(
     asks=st.lists(
-        st.tuples(st.integers(0, 7), st.sampled_from([True, True, False])),
+        st.tuples(
+            st.integers(0, 7),
+            st.sampled_from([True, True, False]),
+            st.sampled_from([0, 0, 0.1, 1.5]),
+        ),
         min_size=30,
         max_size=300,
     ),
@@ -141,7 +145,7 @@
     share=st.sampled_from([0.0, 0.2]),
 )
 def repeats_stay_in_bounds(asks, slack, share):
-    """Any stretch of a fleet of eight, whatever each one asks."""
+    """Any window of a fleet of eight, whatever each one asks, and when."""
     bounds = RepeatBounds(share, slack, 10)
 
     def start():
@@ -151,18 +155,22 @@
 
     fleet = [start() for _ in range(8)]
     windows = []
-    for place, (number, is_repeat) in enumerate(asks):
-        windows.append([0, 0])
+    now = 100.0
+    for place, (number, is_repeat, gap) in enumerate(asks):
+        now += gap
+        windows.append([now, 0, 0])
         if place == len(asks) // 2:  # the whole fleet restarts once
             fleet = [start() for _ in range(8)]
         budget = fleet[number]
-        taken = is_repeat and budget.spend('s', 0)
+        taken = is_repeat and budget.spend('s', now)
         if not is_repeat:
-            budget.earn('s')
+            budget.earn('s', now)
         for window in windows:
-            window[0] += not is_repeat
-            window[1] += taken
-            assert window[1] <= share * window[0] + slack + 1e-6
+            if now - window[0] > bounds.window:
+                continue
+            window[1] += not is_repeat
+            window[2] += taken
+            assert window[2] <= share * window[1] + slack + 1e-6
 
 
 names = st.lists(
