--- a/packages/core/src/crocusroad_core/routing/_replica_state.py
+++ b/packages/core/src/crocusroad_core/routing/_replica_state.py
@@ -9,7 +9,7 @@
 from crocusroad_core.routing._zones import Zone
 
 LATENCY_WEIGHT: Final = 0.2  # of a new sample in the mean
-LATENCY_SECONDS: Final = 10.0  # age at which a latency says nothing more
+LATENCY_SECONDS: Final = 60.0  # age at which a latency says nothing more
 FASTEST_DRIFT: Final = 1.01  # the fastest latency fades upwards by this
 RAMP_SECONDS: Final = 10.0
 LEAST_RAMP: Final = 0.1  # share of its slots that a cold replica is given
