--- a/packages/core/src/crocusroad_core/links/__init__.py
+++ b/packages/core/src/crocusroad_core/links/__init__.py
@@ -2,7 +2,6 @@
 
 from crocusroad_core.links._instance_view import InstanceView
 from crocusroad_core.links._part import connection_part
-from crocusroad_core.links._place import has_place
 from crocusroad_core.links._silence import SilenceWatch
 
-__all__ = ['InstanceView', 'SilenceWatch', 'connection_part', 'has_place']
+__all__ = ['InstanceView', 'SilenceWatch', 'connection_part']
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -94,9 +94,7 @@
     random = Random()  # noqa: S311
     life = NodeLife()
     budget = RepeatBudget(cfg.repeats)
-    relay_home = '{}:{}'.format(*cfg.relay_listen)
-    own = Member(cfg.instance, cfg.zone, relay_home, cfg.link_mbps)
-    pools = Pools(dialect.headers.request_id, own)
+    pools = Pools(dialect.headers.request_id, cfg.zone)
     router = Router(cfg.zone, random.random, pools.reach_cost)
     directory = Directory(
         AdoptedTable(),
@@ -118,6 +116,8 @@
     gateway = Gateway(parts, monotonic)
     door = Door(directory, life)
     own_door = Door(directory, life)
+    relay_home = '{}:{}'.format(*cfg.relay_listen)
+    own = Member(cfg.instance, cfg.zone, relay_home, cfg.link_mbps)
     ring = SourceRing(own)
     desk = RelayDesk()
     sourced = SourcedStore(outside.kv, ring)
@@ -125,7 +125,7 @@
     def on_members(members: list[Member]) -> None:
         ring.on_members(members)
         budget.on_instances(ring.count)
-        pools.on_members(members)
+        pools.on_instances(ring.count)
 
     def state() -> str:
         if not life.is_ready:
