Let followers ask a store that failed them every 2 s

Ruled out: renewals of leases (a tenth of the price each). Change: where other instances read the store, one that it did not answer asks it again after 2 s; the readers, asked each 0.8 s, tell when it is back.

--- a/packages/core/src/crocusroad_core/sources/_ring.py
+++ b/packages/core/src/crocusroad_core/sources/_ring.py
@@ -38,6 +38,11 @@
         """Tell whether this instance reads the store itself."""
         return any(one.name == self._own.name for one in self._readers)
 
+    @property
+    def has_readers(self) -> bool:
+        """Tell whether other instances read the store for this one."""
+        return bool(self._readers) and not self.is_reader
+
     def on_members(self, members: Iterable[Member]) -> None:
         """Take the list of instances."""
         ranked = sorted(members, key=_rank)
@@ -63,7 +68,7 @@
 
     def sources(self, now: float) -> list[Member]:
         """Return the instances to ask, best first; then the store itself."""
-        if self.is_reader or not self._readers:
+        if not self.has_readers:
             return []
         fine = [one for one in self._readers if self._is_fine(one, now)]
         start = _number(self._own) % len(self._readers)
--- a/packages/node/src/crocusroad_node/gateway/_sourced.py
+++ b/packages/node/src/crocusroad_node/gateway/_sourced.py
@@ -23,6 +23,9 @@
 # enough for another to be asked within the bound on leaving replicas.
 RELAY_WAIT: Final = 1.0
 RELAY_SLACK: Final = 0.5
+# Where other instances read the store and it did not answer this one, it is
+# asked again after so many seconds: meanwhile those that read it will tell.
+DIRECT_PAUSE: Final = 2.0
 _decoder = msgspec.json.Decoder(RelayBatch)
 
 
@@ -34,6 +37,7 @@
         self._ring = ring
         self._links: dict[str, StoreHttp] = {}  # by address
         self._direct: set[str] = set()  # prefixes last asked at the store
+        self._direct_from: dict[str, float] = {}  # when next, by prefix
 
     def is_direct(self, prefix: str) -> bool:
         """Tell whether the store itself was asked last for a prefix."""
@@ -44,7 +48,7 @@
         relayed = await self._relayed(prefix, LIST, 0)
         if relayed is not None:
             return relayed
-        return await self._kv.list(prefix)
+        return self._heed(prefix, await self._kv.list(prefix))
 
     async def watch(
         self,
@@ -56,7 +60,7 @@
         relayed = await self._relayed(prefix, after, min(wait, RELAY_WAIT))
         if relayed is not None:
             return relayed
-        return await self._kv.watch(prefix, after, wait)
+        return self._heed(prefix, await self._kv.watch(prefix, after, wait))
 
     async def _relayed(
         self,
@@ -88,9 +92,26 @@
                 monotonic(),
                 is_silent=fault is not StoreFault.behind,
             )
+        if self._ring.has_readers and self._is_too_soon(prefix):
+            return Failure(StoreFault.behind)
         self._direct.add(prefix)
         return None
 
+    def _is_too_soon(self, prefix: str) -> bool:
+        return monotonic() < self._direct_from.get(prefix, float(0))
+
+    def _heed(
+        self,
+        prefix: str,
+        reply: Result[Batch, StoreFault],
+    ) -> Result[Batch, StoreFault]:
+        """Note whether the store answered; return its reply."""
+        if isinstance(reply, Success):
+            self._direct_from.pop(prefix, None)
+        elif reply.failure() is not StoreFault.compacted:
+            self._direct_from[prefix] = monotonic() + DIRECT_PAUSE
+        return reply
+
     async def _ask(
         self,
         source: Member,
--- a/tests/features/fleet_processes.feature
+++ b/tests/features/fleet_processes.feature
@@ -162,3 +162,12 @@
     Given a fleet with 6 gateways
     When the store cuts every connection and then changes 100 times a second
     Then in 2 seconds it is called at most 60 times
+
+  # 2 readers, 2 keys, 8 tries; 6 instances renew 4 times; 4 followers, 2 keys,
+  # 2 tries: 72.
+  Scenario: A store that refuses everybody is asked seldom and found again soon
+    Given a fleet with 6 gateways
+    When the store refuses every call for 4 seconds
+    Then its readers alone ask it often: at most 75 calls
+    When a route is added
+    Then within 3 seconds each gateway serves it
--- a/tests/features/steps/fleet_processes.py
+++ b/tests/features/steps/fleet_processes.py
@@ -600,3 +600,23 @@
 @then('in {seconds:d} seconds it is called at most {count:d} times')
 def step_calls(context, seconds, count):
     assert context.calls <= count, context.calls
+
+
+@when('the store refuses every call for {seconds:d} seconds')
+def step_refuse_all(context, seconds):
+    store = context.fleet.store
+
+    async def main():
+        await asyncio.sleep(3)
+        calls = store.calls
+        store.set_mode('busy')
+        await asyncio.sleep(seconds)
+        store.set_mode('up')
+        return store.calls - calls
+
+    context.calls = run(context, main())
+
+
+@then('its readers alone ask it often: at most {count:d} calls')
+def step_seldom(context, count):
+    assert context.calls <= count, context.calls
