--- a/packages/core/src/crocusroad_core/gather/_flight.py
+++ b/packages/core/src/crocusroad_core/gather/_flight.py
@@ -28,7 +28,6 @@
         self.canary = Canary(is_needed=plan.needs_canary)
         self.suspects: list[Suspect] = []
         self.may_have_run = False
-        self.heard_at = float('-inf')  # seconds; of the last answer
         self._open = 0  # parts that are neither answered nor missing
         self._answered = 0  # parts
         self._serial = 0
@@ -39,11 +38,6 @@
         """Tell whether a part is neither answered nor missing."""
         return self._open > 0
 
-    @property
-    def open_count(self) -> int:
-        """Return how many parts are neither answered nor missing."""
-        return self._open
-
     @property
     def is_enough(self) -> bool:
         """Tell whether the parts that answered make an answer."""
@@ -126,14 +120,8 @@
         else:
             self.alarms.put(shard, now + delay)
 
-    def accept(
-        self,
-        attempt: Attempt,
-        event: Reply,
-        now: float,
-    ) -> list[Command]:
+    def accept(self, attempt: Attempt, event: Reply) -> list[Command]:
         """Take the answer of a shard; cancel its other attempts."""
-        self.heard_at = now
         del self.running[attempt.serial]
         self.may_have_run = True
         part = self.parts[attempt.shard]
--- a/packages/core/src/crocusroad_core/gather/_gather.py
+++ b/packages/core/src/crocusroad_core/gather/_gather.py
@@ -65,7 +65,7 @@
             return []
         if event.shard != attempt.shard or event.version != attempt.version:
             return self._after_loss(attempt, FailureReason.crossed, now)
-        commands = self._flight.accept(attempt, event, now)
+        commands = self._flight.accept(attempt, event)
         if self._flight.canary.is_out:
             commands.extend(self._release(now))
         return self._settle(commands, now)
--- a/packages/core/src/crocusroad_core/gather/_hedges.py
+++ b/packages/core/src/crocusroad_core/gather/_hedges.py
@@ -7,14 +7,6 @@
 
 HEDGE_PAUSE_SECONDS = 0.1  # after the budget refused; doubled each time
 
-# An instance that reads the answers of many shards on half a core is busy with
-# them for longer than a hedge waits. While more than this share of at least so
-# many shards is open, and an answer came within so many seconds, the replicas
-# are not slow: the answers are only not read yet.
-FEW_SHARE = 0.05
-MANY_SHARDS = 16
-FLOW_SECONDS = 0.01
-
 
 def hedge(flight: Flight, part: Part, now: float) -> list[Command]:
     """Ask another replica of a slow shard if the budget allows.
@@ -34,9 +26,6 @@
     if not flight.plan.is_hedge_in_time(now):
         flight.alarms.put(part.shard, flight.plan.answer_by)
         return []
-    if _is_flowing(flight, now):
-        flight.alarms.put(part.shard, now + FLOW_SECONDS)
-        return []
     if not part.untried():
         part.ask_again()
     replica = flight.choose(part, part.untried(), now)
@@ -48,10 +37,3 @@
     pause = HEDGE_PAUSE_SECONDS * 2 ** (part.pauses - 1)
     flight.alarms.put(part.shard, now + pause)
     return []
-
-
-def _is_flowing(flight: Flight, now: float) -> bool:
-    shards = len(flight.parts)
-    if shards < MANY_SHARDS or flight.open_count <= FEW_SHARE * shards:
-        return False
-    return now - flight.heard_at < FLOW_SECONDS
