Hedge no attempt at once that is sent after the answer was due

Cause, found in reading the change: where a query waits for more shards after its answer was due, the time left is below zero, and so was the moment of the hedge: each retry would have been hedged by the next tick. Change: the soonest moment does not follow the time that is left. Measured: scenario of 50 ms after the due moment: red before (delay below zero), green after; only fan-outs that lack shards are concerned.

--- a/packages/core/src/crocusroad_core/routing/_hedge_timing.py
+++ b/packages/core/src/crocusroad_core/routing/_hedge_timing.py
@@ -10,9 +10,10 @@
 
 from crocusroad_core.routing._latency import LatencyTrack
 
-# The latest moment of a hedge leaves time for this share of its answers, but
-# for no more than this share of the objective: where most replicas are slow,
-# hedges sent soon would go to all shards and help none.
+# The latest moment of a hedge leaves time for this share of its answers (one
+# in five that comes too late costs less than the hedges sent in vain before),
+# but for no more than this share of the objective: where most replicas are
+# slow, hedges sent soon would go to all shards and help none.
 IN_TIME_SHARE: Final = 0.8
 MOST_TAKEN: Final = 0.4
 # Answers after which what was learned replaces the first guess, and after
@@ -54,7 +55,8 @@
         """
         taken = self._answer_time or FIRST_GUESS * objective
         taken = min(taken, MOST_TAKEN * objective)
-        soonest = min(SOONEST * objective, left)
+        # Also after the answer was due, when a query waits for more shards.
+        soonest = SOONEST * objective
         latest = max(soonest, left - taken)
         return latest if is_scarce else max(soonest, min(usual, latest))
 
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -100,6 +100,10 @@
     When half of them are given up after 40 ms
     Then with little left one is sent earlier than before
 
+  Scenario: An attempt that is sent after the answer was due is not hedged at once
+    Given hedges of a route that take 40 ms
+    Then 50 ms after it was due one is sent after 0.3 of the objective
+
   # 90 shards of three replicas, each paused for 200 ms in each 4.5 s; repeats
   # may be 0.16 of the requests.
   Scenario: A query to 90 shards of which some pause is whole when it is due
--- a/tests/features/steps/hedges.py
+++ b/tests/features/steps/hedges.py
@@ -48,6 +48,17 @@
     assert took / 1000 <= left < 1.25 * took / 1000, left
 
 
+@then(
+    '{late:d} ms after it was due one is sent after {share:g} of the objective'
+)
+def step_after_due(context, late, share):
+    for is_scarce in (True, False):
+        delay = context.timing.delay(
+            0.04, -late / 1000, OBJECTIVE, is_scarce=is_scarce
+        )
+        assert delay == share * OBJECTIVE, delay
+
+
 @when('half of them are given up after {waited:d} ms')
 def step_given_up(context, waited):
     for _ in range(64):
