Let fast instances coordinate the fan-outs of slow ones

Each sees 0.3 fan-outs a second, so that it learns of slow replicas alone and holds one or two repeats a shard. Six (ten) instances are five times as fast and idle.

Change: an instance gives a repeatable fan-out to a clearly faster one, with the version of its configuration; that one says at once that it has it, or why not (busy, stopping, another version). Where it says nothing for 40 ms and the way, the fan-out is done at home as a repeat within the budget, at one replica a shard; where it is lost at work, the caller is told at once. The parts of repeats and connections at shards follow who coordinates. A budget from which nothing was taken for a whole window is whole again.

--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -15,8 +15,9 @@
 
 import uvloop
 
+from crocusroad_core.coordinators import Coordinators
 from crocusroad_core.discovery import Registration, ReplicaTable
-from crocusroad_core.repeats import RepeatBounds, RepeatBudget
+from crocusroad_core.repeats import RepeatBounds, RepeatBudgets
 from crocusroad_core.routes import (
     AdoptedTable,
     RequestLimits,
@@ -26,7 +27,9 @@
     WeightedTurns,
 )
 from crocusroad_core.routing import Router
+from crocusroad_core.sources import Member
 from crocusroad_node.exchanges import LinkPool
+from crocusroad_node.gateway._delegation import Delegations
 from crocusroad_node.gateway._directory import Directory
 from crocusroad_node.gateway._gateway import Gateway, Parts
 from crocusroad_node.gateway._policies import Policies
@@ -86,7 +89,8 @@
         address = f'127.0.0.1:{FIRST_PORT + number}'
         entry = Registration(f'i-{name}', name, address, 'a', 2, False, 0, 1)
         directory.registered.put(name, entry)
-    budget = RepeatBudget(RepeatBounds(0.2, 56, 10))
+    bounds = RepeatBounds(0.2, 56, 10)
+    budget = RepeatBudgets(bounds, directory.is_shard, loop.time())
     policies = Policies(router, budget)
     pools = {}
 
@@ -102,7 +106,18 @@
         DIALECT.headers, router, pool, policies.record, policies.record_hedge
     )
     turns = WeightedTurns(Random(2).random)
-    parts = Parts(DIALECT, directory, reach, policies, budget, turns)
+    own = Member('bench', 'a', '127.0.0.1:1')
+    id_header = DIALECT.headers.request_id
+    parts = Parts(
+        DIALECT,
+        directory,
+        reach,
+        policies,
+        budget,
+        turns,
+        Delegations(own, Coordinators(own), id_header),
+        lambda shards: None,
+    )
     return Gateway(parts, loop.time)
 
 
--- a/packages/core/src/crocusroad_core/fronts/_replica.py
+++ b/packages/core/src/crocusroad_core/fronts/_replica.py
@@ -11,6 +11,7 @@
     zone: str
     slots: int  # requests it runs at once
     connections: int  # connections it accepts, over all instances
+    is_shard: bool = False  # whether fan-outs go there
 
     @property
     def host(self) -> str:
--- a/packages/core/src/crocusroad_core/gather/_conclude.py
+++ b/packages/core/src/crocusroad_core/gather/_conclude.py
@@ -13,6 +13,7 @@
 REASON_DEADLINE = 'deadline'
 REASON_NO_REPLICA = 'no-replica'
 REASON_NOT_ASKED = 'not-asked'
+REASON_NO_REPEAT = 'no-repeat-left'
 
 
 class Ending(NamedTuple):
--- a/packages/core/src/crocusroad_core/gather/_flight.py
+++ b/packages/core/src/crocusroad_core/gather/_flight.py
@@ -7,7 +7,10 @@
 from crocusroad_core.gather._attempt import Attempt, AttemptRole
 from crocusroad_core.gather._canary import Canary
 from crocusroad_core.gather._command import Cancel, Command, Send
-from crocusroad_core.gather._conclude import REASON_NO_REPLICA
+from crocusroad_core.gather._conclude import (
+    REASON_NO_REPEAT,
+    REASON_NO_REPLICA,
+)
 from crocusroad_core.gather._event import FailureReason, Reply
 from crocusroad_core.gather._outcome import Suspect
 from crocusroad_core.gather._part import Part
@@ -77,6 +80,8 @@
             replica = self.choose(part, part.replicas, now)
             if replica is None:
                 self.give_up(part, REASON_NO_REPLICA)
+            elif self.plan.is_repeat and not self.policy.spend(shard, now):
+                self.give_up(part, REASON_NO_REPEAT)
             else:
                 if self._first_role is AttemptRole.restart:
                     self.policy.replace(False, now)  # so that it earns nothing
--- a/packages/core/src/crocusroad_core/gather/_gather.py
+++ b/packages/core/src/crocusroad_core/gather/_gather.py
@@ -159,7 +159,11 @@
         ending = Ending(
             version=flight.shard_map.version,
             plan=self._plan,
-            may_have_run=flight.may_have_run or bool(flight.running),
+            may_have_run=(
+                self._plan.is_repeat
+                or flight.may_have_run
+                or bool(flight.running)
+            ),
             is_expired=is_expired,
             is_suspected=is_suspected,
             suspects=tuple(flight.suspects),
--- a/packages/core/src/crocusroad_core/gather/_plan.py
+++ b/packages/core/src/crocusroad_core/gather/_plan.py
@@ -26,6 +26,7 @@
     max_replicas: int = 0  # that may run one shard; 0: as many as there are
     least_share: float = 0  # of the shards; an answer with less is a failure
     answer_by: float = inf  # from here on an answer with enough shards goes out
+    is_repeat: bool = False  # whether the first attempts are repeats already
     hedge_time: float = 0  # seconds that a hedge takes to be answered at least
 
     def is_hedge_in_time(self, now: float) -> bool:
--- a/packages/core/src/crocusroad_core/repeats/_budget.py
+++ b/packages/core/src/crocusroad_core/repeats/_budget.py
@@ -32,6 +32,7 @@
 class _Account(NamedTuple):
     tokens: float
     at: float  # seconds; when they were counted
+    spent_at: float  # seconds; when one was last taken
 
 
 class RepeatBudget:
@@ -40,18 +41,24 @@
     Each request for a service earns a share of a token, and time brings some
     back. What is saved up and what time brings in a window are together this
     instance's part of the slack, so that over any window the repeats are at
-    most that part plus the share of the window's requests.
+    most that part plus the share of the window's requests. Where none was
+    taken for a whole window, all that may be saved up is there again: a small
+    part would else never come to one repeat.
     """
 
-    def __init__(self, bounds: RepeatBounds) -> None:
+    def __init__(self, bounds: RepeatBounds, now: float) -> None:
         self._bounds = bounds
-        self._instances = LEAST_INSTANCES
+        self._began = now
+        self._instances: float = LEAST_INSTANCES
         self._accounts: dict[str, _Account] = {}
         self._share()
 
-    def on_instances(self, count: int) -> None:
-        """Take the number of instances that share the slack."""
-        self._instances = max(LEAST_INSTANCES, count)
+    def on_instances(self, count: int, weight: float = 1) -> None:
+        """Take how many instances share the slack, and this one's weight.
+
+        The weights of all of them add up to their number.
+        """
+        self._instances = max(LEAST_INSTANCES, count) / weight
         self._share()
 
     def on_bounds(self, bounds: RepeatBounds) -> None:
@@ -62,14 +69,16 @@
     def earn(self, service: str, now: float) -> None:
         """Count a request for a service."""
         earned = self._saved(service, now) + self._earned
-        self._accounts[service] = _Account(min(earned, self._most), now)
+        spent_at = self._spent_at(service)
+        account = _Account(min(earned, self._most), now, spent_at)
+        self._accounts[service] = account
 
     def spend(self, service: str, now: float) -> bool:
         """Take one repeat; False if there is none left."""
         saved = self._saved(service, now)
         if saved < 1:
             return False
-        self._accounts[service] = _Account(saved - 1, now)
+        self._accounts[service] = _Account(saved - 1, now, now)
         return True
 
     def is_scarce(self, service: str, now: float) -> bool:
@@ -86,6 +95,8 @@
         self._earned = bounds.share * USED_SHARE  # tokens a request
 
     def _saved(self, service: str, now: float) -> float:
+        if now - self._spent_at(service) > self._bounds.window:
+            return self._most
         account = self._accounts.get(service)
         if account is None:
             return self._first
@@ -93,3 +104,8 @@
         if passed <= 0:
             return account.tokens
         return min(self._most, account.tokens + self._back * passed)
+
+    def _spent_at(self, service: str) -> float:
+        # An earlier start of this instance may have spent all just before.
+        account = self._accounts.get(service)
+        return self._began if account is None else account.spent_at
--- a/packages/core/src/crocusroad_core/routes/_table.py
+++ b/packages/core/src/crocusroad_core/routes/_table.py
@@ -41,11 +41,17 @@
         self.services = services
         self.limits = limits
         self._hosts: dict[str, list[Route]] = {}
+        self._shards: set[str] = set()  # services that routes fan out to
         for route in routes:
             self._hosts.setdefault(route.host, []).append(route)
+            self._shards.update(route.shards)
         for same in self._hosts.values():
             same.sort(key=_prefix_length, reverse=True)
 
+    def is_shard(self, service: str) -> bool:
+        """Tell whether any route fans out to a service."""
+        return service in self._shards
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix; None if none fits."""
         for route in self._hosts.get(host, ()):
--- a/packages/core/src/crocusroad_core/sources/_member.py
+++ b/packages/core/src/crocusroad_core/sources/_member.py
@@ -9,4 +9,5 @@
     name: str
     zone: str
     address: str  # host:port where the others ask it
-    link_mbps: float = 0  # of its own link, which telling the others takes
+    link_mbps: float = 0  # of its own link; 0: not known
+    cores: float = 0  # it computes as fast as so many cores; 0: not known
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -26,6 +26,16 @@
     'Sub-requests that brought no answer, by reason.',
     ['reason'],
 )
+DELEGATED = Counter(
+    'crocusroad_delegated',
+    'Fan-outs given to a faster instance, by what came of them.',
+    ['outcome'],
+)
+ACCEPTED = Counter(
+    'crocusroad_delegations',
+    'Fan-outs that other instances offered, by whether they were accepted.',
+    ['outcome'],
+)
 ATTEMPT_FAULTS = Counter(
     'crocusroad_attempt_faults',
     'Sub-requests that ended by an unexpected exception, by its type.',
--- a/packages/node/src/crocusroad_node/exchanges/_call.py
+++ b/packages/node/src/crocusroad_node/exchanges/_call.py
@@ -46,6 +46,7 @@
         self._on_end: Callable[[Ending], None] | None = on_end
         self._link: Link | None = None
         self._sent_at: float = 0
+        self._has_begun = False
         self._waiter: Waiter | None = None
         self._timer = self._loop.call_at(deadline + LATE_SECONDS, self._expire)
         self._waiter = pool.take(self._taken, message.freshness)
@@ -55,6 +56,13 @@
         """Tell whether the request was sent."""
         return bool(self._sent_at)
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether any answer came, also one that says to wait."""
+        return self._has_begun or (
+            self._link is not None and self._link.has_begun
+        )
+
     def abandon(self, on_late: Callable[[Ending], None]) -> None:
         """Let the other end finish; `on_late` is told what comes of it.
 
@@ -90,6 +98,7 @@
 
     def _ended(self, outcome: Outcome) -> None:
         self._timer.cancel()
+        self._has_begun = self.has_begun
         link = self._link
         self._link = None
         if link is not None:
--- a/packages/node/src/crocusroad_node/exchanges/_link.py
+++ b/packages/node/src/crocusroad_node/exchanges/_link.py
@@ -33,6 +33,7 @@
     def __init__(self, clock: Callable[[], float], id_header: bytes) -> None:
         self.is_open = False
         self.idle_until = float(0)
+        self.has_begun = False  # bytes came since the last request
         self.used_at = clock()
         self._clock = clock
         self._id_header = id_header
@@ -61,6 +62,7 @@
         is_head: bool = False,
     ) -> None:
         """Send a request; `on_end` is told once what came of it."""
+        self.has_begun = False
         self._on_end = on_end
         self._reading = Reading(self._id_header, request_id, is_head=is_head)
         if self._transport is not None:
@@ -72,6 +74,7 @@
         if reading is None:
             self.close()  # bytes that nobody asked for
             return
+        self.has_begun = True
         try:
             reading.feed(data)
         except httptools.HttpParserError:
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_assembly.py
@@ -0,0 +1,116 @@
+"""Builds the parts of a gateway that work on requests, and wires them."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from time import monotonic
+from typing import NamedTuple
+
+from crocusroad_core.coordinators import (
+    Backlog,
+    Coordinators,
+    fan_out_weight,
+    shard_seconds,
+)
+from crocusroad_core.discovery import ReplicaTable
+from crocusroad_core.repeats import RepeatBounds, RepeatBudgets
+from crocusroad_core.routes import AdoptedTable, WeightedTurns
+from crocusroad_core.routing import Router
+from crocusroad_core.sources import Member
+from crocusroad_node.gateway._connection import Begin
+from crocusroad_node.gateway._delegated import DelegatedDesk
+from crocusroad_node.gateway._delegated_head import DELEGATED
+from crocusroad_node.gateway._delegation import Delegations
+from crocusroad_node.gateway._dialect import Dialect
+from crocusroad_node.gateway._directory import Directory
+from crocusroad_node.gateway._gateway import Gateway, Parts
+from crocusroad_node.gateway._policies import Policies
+from crocusroad_node.gateway._pools import Pools
+from crocusroad_node.gateway._query import Reach
+from crocusroad_node.gateway._reply import Answer
+from crocusroad_node.gateway._request import CallerRequest
+from crocusroad_node.gateway._warmer import Warmer
+
+
+class Assembly(NamedTuple):
+    """The parts of a gateway that the root runs and feeds."""
+
+    directory: Directory
+    gateway: Gateway
+    delegated: DelegatedDesk
+    warmer: Warmer
+    on_members: Callable[[list[Member]], None]
+    on_bounds: Callable[[RepeatBounds], None]
+
+
+def assemble(
+    dialect: Dialect,
+    own: Member,
+    bounds: RepeatBounds,
+    is_serving: Callable[[], bool],
+) -> Assembly:
+    """Build the parts of a gateway that work on requests."""
+    random = Random()  # noqa: S311
+    pools = Pools(dialect.headers.request_id, own.zone)
+    router = Router(own.zone, random.random, pools.reach_cost)
+    directory = Directory(
+        AdoptedTable(),
+        ReplicaTable(),
+        router,
+        pools.retain,
+        monotonic,
+    )
+    budget = RepeatBudgets(bounds, directory.is_shard, monotonic())
+    policies = Policies(router, budget)
+    reach = Reach(
+        dialect.headers,
+        router,
+        pools.pool,
+        policies.record,
+        policies.record_hedge,
+    )
+    coordinators = Coordinators(own)
+    backlog = Backlog()
+    cost = shard_seconds(own)
+    parts = Parts(
+        dialect,
+        directory,
+        reach,
+        policies,
+        budget,
+        WeightedTurns(random.random),
+        Delegations(own, coordinators, dialect.headers.request_id),
+        lambda shards: backlog.add(shards * cost, monotonic()),
+    )
+    gateway = Gateway(parts, monotonic)
+    desk = DelegatedDesk(directory, backlog, is_serving, gateway.coordinate)
+
+    def is_asked(service: str) -> bool:
+        if not directory.is_shard(service):
+            return True
+        return coordinators.is_counted and not coordinators.are_there
+
+    def on_members(members: Iterable[Member]) -> None:
+        listed = tuple(members)
+        coordinators.on_members(listed)
+        weight = fan_out_weight(own, listed)
+        budget.on_instances(len(listed), weight)
+        pools.on_instances(len(listed), weight)
+
+    return Assembly(
+        directory,
+        gateway,
+        desk,
+        Warmer(own.name, own.zone, directory, pools.pool, is_asked),
+        on_members,
+        budget.on_bounds,
+    )
+
+
+def relayed(delegated: DelegatedDesk, copies: Begin) -> Begin:
+    """Return what begins the work on a request of another instance."""
+
+    def begin(req: CallerRequest, answer: Answer) -> Callable[[], None]:
+        is_delegated = bool(req.header(DELEGATED))
+        return (delegated.begin if is_delegated else copies)(req, answer)
+
+    return begin
--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -14,6 +14,8 @@
 
 MAX_WAITING: Final = 4  # requests sent ahead on one connection
 
+_PROCESSING: Final = b'HTTP/1.1 102 Processing\r\n\r\n'
+
 # Begins the work on a request; the answer goes to the function given.
 # Returns a function that stops the work because the caller has left.
 Begin = Callable[
@@ -34,6 +36,7 @@
         """Tell whether connections close after their answer."""
 
     connections: set['CallerConnection']
+    acknowledged: bytes  # requests with this header are, at once; b'': none
 
 
 class CallerConnection(asyncio.Protocol):
@@ -172,6 +175,9 @@
                 answered = True
                 self._answer(req, reply, keeps_alive=keeps_alive)
 
+        header = self._host.acknowledged
+        if header and req.header(header):
+            self._write(_PROCESSING)
         stop = self._begin(req, answer)
         if not answered:
             self._stop = stop
--- /dev/null
+++ b/packages/node/src/crocusroad_node/gateway/_delegated_head.py
@@ -0,0 +1,52 @@
+"""The head of a request that one instance gives to another."""
+
+from typing import Final, NamedTuple
+
+from crocusroad_node.gateway._reply import Reply
+from crocusroad_node.gateway._request import CallerRequest, forwarded
+
+DELEGATED: Final = b'crocusroad-delegated'
+NOT_ACCEPTED: Final = b'crocusroad-not-accepted'
+US_PER_SECOND: Final = 1_000_000
+
+
+class Delegated(NamedTuple):
+    """What a coordinator is told beside the caller's request."""
+
+    version: int  # of the configuration that the giver works by
+    passed: float  # seconds of the caller's time that the giver and the way use
+
+
+def encode_delegated(req: CallerRequest, told: Delegated) -> bytes:
+    """Return the bytes that a coordinator is sent."""
+    lines = forwarded(req.headers, frozenset((DELEGATED,)))
+    passed = int(told.passed * US_PER_SECOND)
+    lines.append(b'%b: %d %d\r\n' % (DELEGATED, told.version, passed))
+    lines.append(b'Content-Length: %d\r\n' % len(req.body))
+    head = b'%b %b HTTP/1.1\r\n%b\r\n'
+    return head % (req.method, req.target, b''.join(lines)) + req.body
+
+
+def decode_delegated(req: CallerRequest) -> Delegated | None:
+    """Return what the giver tells; None if it is not understood."""
+    words = req.header(DELEGATED).split()
+    if len(words) != 2 or not all(one.isdigit() for one in words):
+        return None
+    version, passed = (int(one) for one in words)
+    return Delegated(version, passed / US_PER_SECOND)
+
+
+def undelegated(req: CallerRequest, told: Delegated) -> CallerRequest:
+    """Return the caller's request as the giver received it."""
+    kept = (
+        (name, text) for name, text in req.headers if name.lower() != DELEGATED
+    )
+    return req._replace(
+        headers=tuple(kept),
+        received_at=req.received_at - told.passed,
+    )
+
+
+def not_accepted(why: str) -> Reply:
+    """Return the answer to a giver that has to do the fan-out itself."""
+    return Reply(503, ((NOT_ACCEPTED, why.encode()),))
--- a/packages/node/src/crocusroad_node/gateway/_directory.py
+++ b/packages/node/src/crocusroad_node/gateway/_directory.py
@@ -36,6 +36,11 @@
         """Tell whether requests can be served."""
         return self.adopted.table is not None and self.registered.size > 0
 
+    def is_shard(self, service: str) -> bool:
+        """Tell whether routes in force fan out to a service."""
+        table = self.adopted.table
+        return table is not None and table.is_shard(service)
+
     def replicas(self, service: str) -> tuple[Replica, ...]:
         """Return the replicas of a service that take new work."""
         found = self._candidates.get(service)
@@ -54,16 +59,23 @@
         known = None if table is None else table.services.get(service)
         limit = 1 if known is None else known.connections
         listed = self.registered.replicas(service)
-        found = tuple(_replica(one, limit) for one in listed)
+        found = tuple(
+            _replica(one, limit, self.is_shard(service)) for one in listed
+        )
         self._router.on_front(service, found, self._clock())
         return found
 
 
-def _replica(entry: Registration, connections: int) -> Replica:
+def _replica(
+    entry: Registration,
+    connections: int,
+    is_shard: bool,
+) -> Replica:
     return Replica(
         name=entry.name,
         address=entry.address,
         zone=entry.zone,
         slots=entry.slots,
         connections=connections,
+        is_shard=is_shard,
     )
--- a/packages/node/src/crocusroad_node/gateway/_fleet.py
+++ b/packages/node/src/crocusroad_node/gateway/_fleet.py
@@ -26,6 +26,7 @@
     zone: str
     address: str  # host:port where the others ask it
     link_mbps: float = 0
+    cores: float = 0
 
 
 class FleetKeyValue(KeyValue, Protocol):
@@ -124,4 +125,4 @@
         except msgspec.DecodeError as exc:
             note(_logger, 'instance not understood', key=entry.key, error=exc)
             return None
-        return Member(name, home.zone, home.address, home.link_mbps)
+        return Member(name, *msgspec.structs.astuple(home))
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -6,11 +6,13 @@
 from typing import Final, NamedTuple
 
 from crocusroad_core.gather import Finish, Gather, Outcome, Punctuality
-from crocusroad_core.repeats import RepeatBudget
+from crocusroad_core.repeats import RepeatBudgets
 from crocusroad_core.routes import Route, WeightedTurns
 from crocusroad_node.counters import OUTCOMES, REFUSALS, SECONDS
+from crocusroad_node.gateway._delegation import Delegations, Job
 from crocusroad_node.gateway._dialect import Dialect
 from crocusroad_node.gateway._directory import Directory
+from crocusroad_node.gateway._given import Given, Ways
 from crocusroad_node.gateway._heads import encoder
 from crocusroad_node.gateway._plans import (
     Target,
@@ -50,6 +52,10 @@
     return refuse(502, 'replicas failed')
 
 
+# Works on a request; returns what stops it.
+Work = Callable[[CallerRequest, Target, Answer], Callable[[], None]]
+
+
 class Parts(NamedTuple):
     """What the gateway works with."""
 
@@ -57,8 +63,10 @@
     directory: Directory
     reach: Reach
     policies: Policies
-    budget: RepeatBudget
+    budget: RepeatBudgets
     turns: WeightedTurns
+    delegations: Delegations
+    add_work: Callable[[int], None]  # shards that this instance will read
 
 
 class Gateway:
@@ -74,6 +82,22 @@
 
     def begin(self, req: CallerRequest, answer: Answer) -> Callable[[], None]:
         """Begin the work on a request; return what stops it."""
+        return self._begin(req, answer, self._give)
+
+    def coordinate(
+        self,
+        req: CallerRequest,
+        answer: Answer,
+    ) -> Callable[[], None]:
+        """Begin the work on a request that another instance gave."""
+        return self._begin(req, answer, self._ask)
+
+    def _begin(
+        self,
+        req: CallerRequest,
+        answer: Answer,
+        work: Work,
+    ) -> Callable[[], None]:
         table = self._parts.directory.table
         if table is None:
             REFUSALS.labels('no-configuration').inc()
@@ -93,23 +117,89 @@
             answer(refuse(400, 'the request has no id'))
             return nothing_to_stop
         shards = route.shards or (self._parts.turns.next_service(route),)
-        return self._ask(req, Target(table, route, shards), answer)
+        return work(req, Target(table, route, shards), answer)
+
+    def _give(
+        self,
+        req: CallerRequest,
+        target: Target,
+        answer: Answer,
+    ) -> Callable[[], None]:
+        """Give a fan-out to a faster instance, or ask the replicas."""
+        route = target.route
+        # One replica of each shard is left for this instance to ask.
+        is_givable = route.is_repeatable and route.max_replicas > 1
+        if not route.is_fan_out or not is_givable:
+            return self._ask(req, target, answer)
+        header = self._parts.dialect.headers.deadline
+        job = Job(
+            req,
+            self._id(req),
+            target.table.version,
+            len(target.shards),
+            deadline_of(req, route, header),
+        )
+        ways = self._ways(req, target, answer)
+        given = Given(ways, self._internal)
+        given.stop_there = self._parts.delegations.begin(job, given)
+        if given.stop_there is None:
+            return self._ask(req, target, answer)
+        self.in_flight += 1
+        return given.stop
+
+    def _ways(
+        self,
+        req: CallerRequest,
+        target: Target,
+        answer: Answer,
+    ) -> Ways:
+        def ask(is_repeat: bool) -> Callable[[], None]:
+            self.in_flight -= 1
+            return self._ask(req, target, answer, is_repeat=is_repeat)
+
+        def end(reply: Reply, outcome: str, coordinator: str) -> None:
+            self.in_flight -= 1
+            answer(reply)
+            took = self._clock() - req.received_at
+            SECONDS.labels('fan-out').observe(took)
+            report(
+                req,
+                self._id(req),
+                route=target.route.name,
+                version=target.table.version,
+                outcome=outcome,
+                status=reply.status,
+                coordinator=coordinator,
+                took_ms=round(took * 1000, 1),
+            )
+
+        return Ways(ask, end, lambda: self._left(req, target, sent=0))
 
     def _ask(
         self,
         req: CallerRequest,
         target: Target,
         answer: Answer,
+        *,
+        is_repeat: bool = False,
     ) -> Callable[[], None]:
         parts = self._parts
         route = target.route
         now = self._clock()
         for shard in target.shards:
             parts.budget.earn(shard, now)
+        if route.is_fan_out:
+            parts.add_work(len(target.shards))
         header = parts.dialect.headers.deadline
         times = Times(req.received_at, deadline_of(req, route, header))
         punctual = self._punctuality(route)
-        plan = plan_for(target, parts.directory, times, punctual.margin)
+        plan = plan_for(
+            target,
+            parts.directory,
+            times,
+            punctual.margin,
+            is_repeat=is_repeat,
+        )
         query = Query(
             Gather(plan, parts.policies.policy_for(route, plan.answer_by)),
             self._task(req, route),
@@ -125,7 +215,12 @@
         )
         self.in_flight += 1
         query.begin()
-        return lambda: self._left(req, target, query)
+
+        def leave() -> None:
+            query.stop()
+            self._left(req, target, query.sent)
+
+        return leave
 
     def _punctuality(self, route: Route) -> Punctuality:
         return self._punctual.setdefault(route.is_fan_out, Punctuality())
@@ -201,16 +296,15 @@
         )
         return Reply(HTTPStatus.OK, headers, b''.join(finish.records))
 
-    def _left(self, req: CallerRequest, target: Target, query: Query) -> None:
+    def _left(self, req: CallerRequest, target: Target, sent: int) -> None:
         self.in_flight -= 1
-        query.stop()
         report(
             req,
             self._id(req),
             route=target.route.name,
             version=target.table.version,
             outcome='caller left',
-            sent=query.sent,
+            sent=sent,
             took_ms=round((self._clock() - req.received_at) * 1000, 1),
         )
 
--- a/packages/node/src/crocusroad_node/gateway/_plans.py
+++ b/packages/node/src/crocusroad_node/gateway/_plans.py
@@ -41,6 +41,8 @@
     directory: Directory,
     req_times: 'Times',
     margin: float,
+    *,
+    is_repeat: bool = False,
 ) -> Plan:
     """Return the plan of a request over the shards of one configuration."""
     route = target.route
@@ -52,7 +54,9 @@
         deadline=req_times.deadline,
         is_repeatable=route.is_repeatable,
         merge=merge_greatest if route.is_fan_out else take_single,
-        max_replicas=route.max_replicas,
+        # Where another instance may have asked a replica, one more is left.
+        max_replicas=1 if is_repeat else route.max_replicas,
+        is_repeat=is_repeat,
         least_share=route.least_share if route.is_fan_out else 1,
         answer_by=answer_by,
         hedge_time=HEDGE_SHARE * route.objective,
--- a/packages/node/src/crocusroad_node/gateway/_pools.py
+++ b/packages/node/src/crocusroad_node/gateway/_pools.py
@@ -18,19 +18,21 @@
 class Pools:
     """The pool of each replica's address.
 
-    Instances share the connections that a replica accepts evenly, and one
-    part is left for an instance that is being replaced.
+    Instances share the connections that a replica accepts, and one part is
+    left for an instance that is being replaced.
     """
 
     def __init__(self, id_header: bytes, zone: str) -> None:
         self._id_header = id_header
         self._zone = zone
         self._count = FIRST_COUNT
+        self._fan_out_weight: float = 1
         self._pools: dict[str, LinkPool] = {}
 
-    def on_instances(self, count: int) -> None:
-        """Take the number of instances."""
+    def on_instances(self, count: int, fan_out_weight: float) -> None:
+        """Take how many instances there are, and this one's weight."""
         self._count = count
+        self._fan_out_weight = fan_out_weight
 
     def reach_cost(self, replica: Replica) -> float:
         """Return what reaching a replica costs, in seconds of latency."""
@@ -56,9 +58,13 @@
             self._pools.pop(address).close()
 
     def _build(self, replica: Replica) -> LinkPool:
-        limit = replica.connections
         return LinkPool(
             (replica.host, replica.port),
             self._id_header,
-            lambda: limit // (self._count + 1),
+            lambda: self._part(replica),
         )
+
+    def _part(self, replica: Replica) -> int:
+        """Return how many connections this instance may open to a replica."""
+        weight = self._fan_out_weight if replica.is_shard else 1
+        return int(replica.connections * weight / (self._count + 1))
--- a/packages/node/src/crocusroad_node/gateway/_warmer.py
+++ b/packages/node/src/crocusroad_node/gateway/_warmer.py
@@ -25,11 +25,13 @@
         zone: str,
         directory: Directory,
         pool: Callable[[Replica], LinkPool],
+        is_asked: Callable[[str], bool],
     ) -> None:
         self._instance = instance
         self._zone = zone
         self._directory = directory
         self._pool = pool
+        self._is_asked = is_asked  # whether requests for a service go out here
         self._warmed: set[str] = set()  # services
 
     async def run(self) -> None:
@@ -47,7 +49,7 @@
         table = self._directory.table
         if table is None:
             return []
-        named = table.services.keys()
+        named = {one for one in table.services if self._is_asked(one)}
         self._warmed &= named
         wanted: list[Replica] = []
         for service in named - self._warmed:
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -5,33 +5,26 @@
 import logging
 import signal
 from collections.abc import Callable
-from random import Random
-from time import monotonic
 from typing import Final, NamedTuple
 
 from returns.result import Result
 
-from crocusroad_core.discovery import ReplicaTable
-from crocusroad_core.repeats import RepeatBounds, RepeatBudget
-from crocusroad_core.routes import AdoptedTable, RequestLimits, WeightedTurns
-from crocusroad_core.routing import Router
+from crocusroad_core.repeats import RepeatBounds
+from crocusroad_core.routes import RequestLimits
 from crocusroad_core.sources import Member, SourceRing
+from crocusroad_node.gateway._assembly import assemble, relayed
 from crocusroad_node.gateway._beliefs import ConfigBelief, ReplicaBelief
 from crocusroad_node.gateway._connection import Begin, CallerConnection
+from crocusroad_node.gateway._delegated_head import DELEGATED
 from crocusroad_node.gateway._dialect import Dialect
 from crocusroad_node.gateway._directory import Directory
 from crocusroad_node.gateway._fleet import Fleet, FleetKeyValue
 from crocusroad_node.gateway._follow import Follower, Told
-from crocusroad_node.gateway._gateway import Gateway, Parts
 from crocusroad_node.gateway._leaving import leave
 from crocusroad_node.gateway._pages import metrics_page, ready_page
-from crocusroad_node.gateway._policies import Policies
-from crocusroad_node.gateway._pools import Pools
-from crocusroad_node.gateway._query import Reach
 from crocusroad_node.gateway._relay_desk import RelayDesk
 from crocusroad_node.gateway._reload import Reloader
 from crocusroad_node.gateway._sourced import SourcedStore
-from crocusroad_node.gateway._warmer import Warmer
 from crocusroad_node.logs import note
 from crocusroad_node.node_life import NodeLife
 
@@ -56,6 +49,7 @@
     relay_listen: Address  # where other instances ask this one
     metrics_listen: Address
     link_mbps: float  # of this instance's own link
+    cores: float  # it computes as fast as so many cores; 0: not known
     grace: float  # seconds from SIGTERM to SIGKILL
     repeats: RepeatBounds
 
@@ -71,8 +65,14 @@
 class Door:
     """What the callers' connections share."""
 
-    def __init__(self, directory: Directory, life: NodeLife) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        life: NodeLife,
+        acknowledged: bytes = b'',
+    ) -> None:
         self.connections: set[CallerConnection] = set()
+        self.acknowledged = acknowledged  # header; b'': none
         self._directory = directory
         self._life = life
 
@@ -91,81 +91,65 @@
 async def run_gateway(cfg: GatewaySettings, outside: Outside) -> None:
     """Run a gateway until it is told to stop and has finished."""
     dialect = outside.dialect
-    random = Random()  # noqa: S311
     life = NodeLife()
-    budget = RepeatBudget(cfg.repeats)
-    pools = Pools(dialect.headers.request_id, cfg.zone)
-    router = Router(cfg.zone, random.random, pools.reach_cost)
-    directory = Directory(
-        AdoptedTable(),
-        ReplicaTable(),
-        router,
-        pools.retain,
-        monotonic,
-    )
-    policies = Policies(router, budget)
-    reach = Reach(
-        dialect.headers,
-        router,
-        pools.pool,
-        policies.record,
-        policies.record_hedge,
-    )
-    turns = WeightedTurns(random.random)
-    parts = Parts(dialect, directory, reach, policies, budget, turns)
-    gateway = Gateway(parts, monotonic)
-    door = Door(directory, life)
-    own_door = Door(directory, life)
-    relay_home = '{}:{}'.format(*cfg.relay_listen)
-    own = Member(cfg.instance, cfg.zone, relay_home, cfg.link_mbps)
+    own = _own(cfg)
+    built = assemble(dialect, own, cfg.repeats, lambda: life.is_ready)
+    directory = built.directory
     ring = SourceRing(own)
     desk = RelayDesk()
-    sourced = SourcedStore(outside.kv, ring)
+    door = Door(directory, life)
 
     def on_members(members: list[Member]) -> None:
         ring.on_members(members)
-        budget.on_instances(ring.count)
-        pools.on_instances(ring.count)
-
-    def state() -> str:
-        if not life.is_ready:
-            return life.state
-        return '' if directory.is_known else 'nothing is known yet'
+        built.on_members(members)
 
-    def apply(changed: GatewaySettings) -> None:
-        budget.on_bounds(changed.repeats)
-
-    fleet = Fleet(outside.kv, dialect.instances_prefix, own, on_members)
-    reloader = Reloader(cfg, outside.reread, apply)
+    reloader = Reloader(
+        cfg,
+        outside.reread,
+        lambda changed: built.on_bounds(changed.repeats),
+    )
     _listen_to_signals(life, reloader)
-    ready = ready_page(dialect.ready_path, state)
+    own_door = Door(directory, life)
+    relay_door = Door(directory, life, acknowledged=DELEGATED)
+    begin_relayed = relayed(built.delegated, desk.begin)
     servers = await _listen_all(
         cfg,
         (
-            (cfg.callers_listen, door, gateway.begin),
-            (cfg.relay_listen, own_door, desk.begin),
+            (cfg.callers_listen, door, built.gateway.begin),
+            (cfg.relay_listen, relay_door, begin_relayed),
             (cfg.metrics_listen, own_door, metrics_page()),
-            (cfg.ready_listen, own_door, ready),
+            (cfg.ready_listen, own_door, _ready(dialect, directory, life)),
         ),
     )
+    fleet = Fleet(outside.kv, dialect.instances_prefix, own, on_members)
+    sourced = SourcedStore(outside.kv, ring)
     followers = _followers(sourced, desk, directory, dialect)
-    warmer = Warmer(cfg.instance, cfg.zone, directory, pools.pool)
-    jobs = [one.run() for one in (*followers, fleet, reloader, warmer)]
-    tasks = [asyncio.create_task(one) for one in jobs]
+    jobs = (*followers, fleet, reloader, built.warmer)
+    tasks = [asyncio.create_task(one.run()) for one in jobs]
     tasks.append(asyncio.create_task(_serve_when_known(directory, life)))
     await life.draining.wait()
     goodbye = asyncio.create_task(fleet.leave())
-    await leave(door, lambda: gateway.in_flight, reloader.cfg.grace)
+    await leave(door, lambda: built.gateway.in_flight, reloader.cfg.grace)
     for task in (*tasks, goodbye):
         task.cancel()
     for server in servers:
         server.close()
-    _finish(life, gateway)
+    life.finish()
+    note(_logger, 'stop', unanswered=built.gateway.in_flight)
 
 
-def _finish(life: NodeLife, gateway: Gateway) -> None:
-    life.finish()
-    note(_logger, 'stop', unanswered=gateway.in_flight)
+def _own(cfg: GatewaySettings) -> Member:
+    home = '{}:{}'.format(*cfg.relay_listen)
+    return Member(cfg.instance, cfg.zone, home, cfg.link_mbps, cfg.cores)
+
+
+def _ready(dialect: Dialect, directory: Directory, life: NodeLife) -> Begin:
+    def state() -> str:
+        if not life.is_ready:
+            return life.state
+        return '' if directory.is_known else 'nothing is known yet'
+
+    return ready_page(dialect.ready_path, state)
 
 
 def _followers(
--- a/packages/platform/src/crocusroad_platform/_node_settings.py
+++ b/packages/platform/src/crocusroad_platform/_node_settings.py
@@ -38,6 +38,9 @@
 
 class _Machine(msgspec.Struct):
     link_mbps: float = msgspec.field(name='LinkMbps', default=0)
+    cpu_share: float = msgspec.field(name='CpuShare', default=0)  # of the time
+    # Not a number of cores: how many times as fast as one the processor is.
+    speed: float = msgspec.field(name='Cores', default=1)
 
 
 class _File(msgspec.Struct):
@@ -61,6 +64,7 @@
     ready_listen: tuple[str, int]
     free_ports: tuple[int, int]  # first and last, for the instances' own use
     link_mbps: float  # of the machine's own link
+    cores: float  # it computes as fast as so many cores; 0: not known
     store: tuple[str, int]
     least_lease: float  # seconds
     drain: float  # seconds until a leaving replica gets nothing more
@@ -100,6 +104,7 @@
         ready_listen=parse_address(file.listen.ready),
         free_ports=file.ports,
         link_mbps=file.machine.link_mbps,
+        cores=file.machine.cpu_share * file.machine.speed,
         store=parse_address(file.platform.address),
         least_lease=file.platform.lease_ms / MS_PER_SECOND,
         drain=bounds.drain_ms / MS_PER_SECOND,
--- a/packages/platform/src/crocusroad_platform/main.py
+++ b/packages/platform/src/crocusroad_platform/main.py
@@ -58,6 +58,7 @@
         relay_listen=(cfg.ip, cfg.free_ports[0]),
         metrics_listen=(cfg.ip, METRICS_PORT),
         link_mbps=cfg.link_mbps,
+        cores=cfg.cores,
         grace=cfg.grace,
         repeats=cfg.repeats,
     )
--- /dev/null
+++ b/tests/features/steps/fleet_coordinators.py
@@ -0,0 +1,187 @@
+import asyncio
+import signal
+import time
+
+from behave import given, then, when
+
+from tests.features.steps.fleet_processes import is_whole, run, start_fleet
+from tests.support.fleet import RELAY, ROUTES, SHARDS, exchange, route
+
+SLOW = {'LinkMbps': 1, 'CpuShare': 0.05, 'Cores': 1}
+FAST = {'LinkMbps': 1000, 'CpuShare': 1, 'Cores': 2}
+WINDOW = 10.0
+
+
+@given('a slow and a fast gateway')
+def step_fleet(context):
+    start_fleet(context, 2, limits={'g0': SLOW, 'g1': FAST})
+    for name in context.names:
+        known = context.fleet.until(
+            lambda one=name: knows_both(context, one), 8, name
+        )
+        run(context, known)
+    context.answer = ask(context)
+    for name in context.names:
+        assert only_request(context, name)
+    for name in context.names:
+        (context.fleet.folder / f'{name}.log').write_text('')
+
+
+def knows_both(context, name):
+    lines = context.fleet.lines(name)
+    return [one['count'] for one in lines if one['event'] == 'instances'][
+        -1:
+    ] == [2]
+
+
+def ask(context, path='/all/x', own=None):
+    began = time.monotonic()
+    answer = run(context, context.fleet.ask('g0', path, own=own))
+    context.took = time.monotonic() - began
+    return answer
+
+
+def requests(context, name):
+    lines = context.fleet.lines(name)
+    return [one for one in lines if one['event'] == 'request']
+
+
+def only_request(context, name):
+    """Return the log line of the one request; lines come a little later."""
+    fleet = context.fleet
+    run(context, fleet.until(lambda: requests(context, name), 2, name))
+    (line,) = requests(context, name)
+    return line
+
+
+@then('g0 has logged that g1 coordinated it, under its id')
+def step_logged(context):
+    line = only_request(context, 'g0')
+    assert (line['outcome'], line['coordinator']) == ('delegated', 'g1'), line
+    context.own = line['id']
+
+
+@then('g1 has logged what it asked of replicas, under the same id')
+def step_logged_there(context):
+    line = only_request(context, 'g1')
+    assert line['id'] == context.own
+    assert line['outcome'] == 'answered'
+    assert line['sent'] == len(SHARDS)
+
+
+@then('g1 has logged no request')
+def step_logged_nothing(context):
+    run(context, asyncio.sleep(0.5))
+    assert not requests(context, 'g1')
+
+
+@given('the repeats of a whole window are saved up')
+def step_saved(context):
+    run(context, asyncio.sleep(WINDOW))
+
+
+@when('g1 is {state} while a fan-out is asked')
+def step_lost(context, state):
+    proc = context.fleet.procs['g1']
+    if state == 'killed':
+        # Its open connections end with it; no other process listens there.
+        proc.send_signal(signal.SIGKILL)
+        proc.wait()
+    else:
+        proc.send_signal(signal.SIGSTOP)
+    context.answer = ask(context)
+
+
+@then('a second one is answered within {seconds:g} seconds')
+def step_second(context, seconds):
+    answer = ask(context)
+    assert is_whole(answer, len(SHARDS)), vars(answer)
+    assert context.took < seconds, context.took
+
+
+@when('g1 is {what} {seconds:g} seconds after a fan-out was asked')
+def step_lost_at_work(context, what, seconds):
+    number = signal.SIGKILL if what == 'killed' else signal.SIGTERM
+
+    async def main():
+        asked = asyncio.create_task(context.fleet.ask('g0', '/all/x'))
+        await asyncio.sleep(seconds)
+        context.fleet.procs['g1'].send_signal(number)
+        context.signalled_at = time.monotonic()
+        context.answer = await asked
+
+    began = time.monotonic()
+    run(context, main())
+    context.took = time.monotonic() - began
+
+
+@then('no replica was asked after that')
+def step_once(context):
+    run(context, asyncio.sleep(0.3))
+    replicas = context.fleet.replicas.values()
+    moments = [moment for one in replicas for moment, _ in one.arrivals]
+    assert max(moments) <= context.signalled_at + 0.02
+
+
+@when('a caller of a fan-out leaves after {seconds:g} seconds')
+def step_leaves(context, seconds):
+    before = broken_off(context)
+
+    async def main():
+        answer = await context.fleet.ask('g0', '/all/x', seconds=seconds)
+        context.left_at = time.monotonic()
+        assert not answer.status, vars(answer)
+        await asyncio.sleep(1)
+
+    run(context, main())
+    context.ends = broken_off(context)[len(before) :]
+
+
+def broken_off(context):
+    replicas = context.fleet.replicas.values()
+    return sorted(moment for one in replicas for moment in one.broken_off)
+
+
+@then('no replica works on it {seconds:g} seconds later')
+def step_stopped(context, seconds):
+    assert len(context.ends) >= len(SHARDS), context.ends
+    assert max(context.ends) - context.left_at < seconds
+
+
+@then('a second one is coordinated by g0')
+def step_coordinated_here(context):
+    answer = ask(context)
+    assert is_whole(answer, len(SHARDS)), vars(answer)
+    run(context, asyncio.sleep(0.5))
+    assert requests(context, 'g0')[-1]['outcome'] == 'answered'
+
+
+@given('g1 does not learn of the next configuration')
+def step_unlearned(context):
+    fleet = context.fleet
+    fleet.store.refused.add(fleet.store_host('g1'))
+    # The watch that it has is answered with the change, so it has to end.
+    fleet.store.cut(fleet.store_host('g1'))
+
+
+@when('a fan-out is asked whose route only the next configuration has')
+def step_next(context):
+    added = route(
+        'next', '/all/next/', FanoutServices=SHARDS, TopK=5, MinShardRatio=0.75
+    )
+    context.fleet.configure([*ROUTES, added])
+    run(context, asyncio.sleep(1))
+    context.answer = ask(context, '/all/next/x')
+
+
+@then('a delegated request that says "{first}" or "{second}" is answered 400')
+def step_odd(context, first, second):
+    home = (context.fleet.host('g1'), RELAY)
+    for text in (first, second):
+        raw = (
+            'GET /all/x HTTP/1.1\r\nHost: pupu.example\r\nX-Request-Id: ab\r\n'
+            f'crocusroad-delegated: {text}\r\n\r\n'
+        )
+        # The first answer says that the request has come.
+        answer = run(context, exchange(home, raw.encode(), final=True))
+        assert answer.status == 400, vars(answer)
--- a/tests/features/steps/fleet_processes.py
+++ b/tests/features/steps/fleet_processes.py
@@ -26,12 +26,13 @@
     return context.runner.run(main)
 
 
-def start(context, gateways, mode='up', log=None):
+def start_fleet(context, gateways, mode='up', log=None, limits=None):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.runner = asyncio.Runner()
     context.add_cleanup(context.runner.close)
     fleet = Fleet(folder.name)
+    fleet.limits = limits or {}
     context.fleet = fleet
     context.add_cleanup(lambda: run(context, fleet.close()))
     context.names = [f'g{number}' for number in range(gateways)]
@@ -57,19 +58,19 @@
 @given('a fleet with {count:d} gateway')
 @given('a fleet with {count:d} gateways')
 def step_fleet(context, count):
-    start(context, count)
+    start_fleet(context, count)
 
 
 @given('a fleet whose store is "{mode}" with {count:d} gateway not ready')
 def step_unready(context, mode, count):
-    start(context, count, mode)
+    start_fleet(context, count, mode)
 
 
 @given('a fleet with {count:d} gateway whose log nobody reads')
 def step_unread(context, count):
     unread, log = os.pipe()
     context.add_cleanup(lambda: (os.close(unread), os.close(log)))
-    start(context, count, log=log)
+    start_fleet(context, count, log=log)
 
 
 @given('no replica of {service} listens')
--- a/tests/features/steps/hedges.py
+++ b/tests/features/steps/hedges.py
@@ -100,7 +100,7 @@
     """Return the share of the shards that are in when answers are due."""
     queries, shards, paused = load
     draw = Random(1)
-    budget = RepeatBudget(RepeatBounds(0.2, 166, 10))
+    budget = RepeatBudget(RepeatBounds(0.2, 166, 10), 0)
     budget.on_instances(INSTANCES)
     answered = 0
 
--- a/tests/properties/fleet.py
+++ b/tests/properties/fleet.py
@@ -136,7 +136,7 @@
         st.tuples(
             st.integers(0, 7),
             st.sampled_from([True, True, False]),
-            st.sampled_from([0, 0, 0.1, 1.5]),
+            st.sampled_from([0, 0, 0.1, 1.5, 10.5]),
         ),
         min_size=30,
         max_size=300,
@@ -148,19 +148,19 @@
     """Any window of a fleet of eight, whatever each one asks, and when."""
     bounds = RepeatBounds(share, slack, 10)
 
-    def start():
-        budget = RepeatBudget(bounds)
+    def start(now):
+        budget = RepeatBudget(bounds, now)
         budget.on_instances(8)
         return budget
 
-    fleet = [start() for _ in range(8)]
+    fleet = [start(100.0) for _ in range(8)]
     windows = []
     now = 100.0
     for place, (number, is_repeat, gap) in enumerate(asks):
         now += gap
         windows.append([now, 0, 0])
         if place == len(asks) // 2:  # the whole fleet restarts once
-            fleet = [start() for _ in range(8)]
+            fleet = [start(now) for _ in range(8)]
         budget = fleet[number]
         taken = is_repeat and budget.spend('s', now)
         if not is_repeat:
--- a/tests/standins/fleet_store.py
+++ b/tests/standins/fleet_store.py
@@ -59,6 +59,11 @@
             for writer in tuple(self.open):
                 writer.transport.abort()
 
+    def cut(self, host):
+        for writer in tuple(self.open):
+            if writer.get_extra_info('sockname')[0] == host:
+                writer.transport.abort()
+
     def expire(self):
         now = time.monotonic()
         for lease, (_, until) in tuple(self.leases.items()):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -61,6 +61,7 @@
         self.version = 10  # so that there are older ones
         self.serial = 0
         self.every = []  # replicas, also those that are gone
+        self.limits = {}  # of the machines, by name of the gateway
         self.program = [sys.executable, str(ROOT / 'deploy' / 'gateway.py')]
 
     async def start(self):
@@ -137,7 +138,7 @@
             'Zone': 'abc'[int(name[1:]) % 3],
             'Listen': {'Front': f'{host}:{FRONT}', 'Ready': f'{host}:{READY}'},
             'PortRange': [RELAY, RELAY + 15],
-            'Limits': {'LinkMbps': 1000.0},
+            'Limits': self.limits.get(name, {'LinkMbps': 1000.0}),
             'Bounds': {
                 'DrainMs': 3000,
                 'GraceS': GRACE,
@@ -214,14 +215,20 @@
         await asyncio.sleep(0)
 
 
-async def exchange(home, raw, seconds=3):
-    """Send bytes on a new connection; return the first answer."""
+async def exchange(home, raw, seconds=3, final=False):
+    """Send bytes on a new connection; return the first answer.
+
+    If it is to be `final`, the first that does not say to wait.
+    """
     try:
         async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(*home)
             try:
                 writer.write(raw)
-                return await read_answer(reader)
+                answer = await read_answer(reader)
+                while final and answer.status < 200:
+                    answer = await read_answer(reader)
+                return answer
             finally:
                 writer.close()
     except (OSError, asyncio.IncompleteReadError):
