Ask the next coordinator after a refusal, and confirm what was accepted

Two of six coordinators were cut off from the store by a node cut and, being its readers, asked nobody else, so that they stayed at the old configuration for 7 s; a refused fan-out stayed at the slow instance for its whole life.

Also found in reading: where the word that a coordinator works on a fan-out is lost on the way, it may already have hedged when the giver asks replicas itself: three replicas of a shard in place of two.

Change: a refused or unreached fan-out goes to the next coordinator; one that has another version is passed over for 0.5 s. Readers that the store does not answer ask the other readers for 2 s. A coordinator asks one replica a shard until the giver confirms that it relies on it, which comes within a round trip; a giver that fell back asks one as well.

New scenario of a cut reader: red before.

--- a/packages/core/src/crocusroad_core/coordinators/_choice.py
+++ b/packages/core/src/crocusroad_core/coordinators/_choice.py
@@ -20,9 +20,11 @@
 # What another instance has to save.
 LEAST_GAIN_SECONDS: Final = 0.005
 # One that did not answer is not asked for this long, in seconds: most are
-# back from a restart by then. One that is busy or about to change is.
+# back from a restart by then. One that is busy has read what it has sooner,
+# one that stops or has another configuration has not.
 SILENT_SECONDS: Final = 5.0
 BUSY_SECONDS: Final = 0.1
+UNLIKE_SECONDS: Final = 0.5
 
 
 def coordinators_for(own: Member, members: Iterable[Member]) -> list[Member]:
@@ -88,9 +90,16 @@
         """Take that an instance did not say that it works on a fan-out."""
         self._shunned[member.name] = now + SILENT_SECONDS
 
-    def on_refusal(self, member: Member, now: float) -> None:
+    def on_refusal(
+        self,
+        member: Member,
+        now: float,
+        *,
+        is_busy: bool,
+    ) -> None:
         """Take that an instance did not accept a fan-out."""
-        self._shunned[member.name] = now + BUSY_SECONDS
+        pause = BUSY_SECONDS if is_busy else UNLIKE_SECONDS
+        self._shunned[member.name] = now + pause
 
     def _seconds(self, member: Member, shards: int) -> float:
         ahead = self._open[member.name] + shards
--- a/packages/core/src/crocusroad_core/gather/_alarms.py
+++ b/packages/core/src/crocusroad_core/gather/_alarms.py
@@ -20,6 +20,10 @@
         self._moments[key] = when
         heappush(self._heap, (when, key))
 
+    def has(self, key: str) -> bool:
+        """Tell whether a key has a moment."""
+        return key in self._moments
+
     def clear(self, key: str) -> None:
         """Forget the moment of a key."""
         self._moments.pop(key, None)
--- a/packages/core/src/crocusroad_core/gather/_gather.py
+++ b/packages/core/src/crocusroad_core/gather/_gather.py
@@ -50,6 +50,17 @@
         commands = self._flight.start(self._plan.shard_map, now)
         return self._settle(commands, now)
 
+    def allow(self, max_replicas: int, now: float) -> None:
+        """Take how many replicas of each shard may be asked from now on.
+
+        Shards that are slow already are looked at once more.
+        """
+        flight = self._flight
+        flight.allow(max_replicas)
+        for attempt in self.running.values():
+            if not flight.alarms.has(attempt.shard):
+                flight.alarms.put(attempt.shard, now)
+
     def next_wake(self) -> float:
         """Return when `on_tick` has to be called at the latest."""
         plan = self._plan
--- a/packages/core/src/crocusroad_core/sources/_ring.py
+++ b/packages/core/src/crocusroad_core/sources/_ring.py
@@ -66,14 +66,20 @@
         pause = SHUN_SECONDS if is_silent else DOUBT_SECONDS
         self._shunned[source.address] = now + pause
 
-    def sources(self, now: float) -> list[Member]:
-        """Return the instances to ask, best first; then the store itself."""
-        if not self.has_readers:
+    def sources(self, now: float, *, is_cut: bool = False) -> list[Member]:
+        """Return the instances to ask, best first; then the store itself.
+
+        A reader asks the others only while it `is_cut` off from the store.
+        """
+        if self.is_reader and not is_cut:
+            return []
+        others = [one for one in self._readers if one.name != self._own.name]
+        if not others:
             return []
-        fine = [one for one in self._readers if self._is_fine(one, now)]
-        start = _number(self._own) % len(self._readers)
-        turned = fine[start:] + fine[:start]
-        return sorted(turned, key=lambda one: one.zone != self._own.zone)
+        start = _number(self._own) % len(others)
+        turned = others[start:] + others[:start]
+        fine = [one for one in turned if self._is_fine(one, now)]
+        return sorted(fine, key=lambda one: one.zone != self._own.zone)
 
     def _is_fine(self, source: Member, now: float) -> bool:
         return self._shunned.get(source.address, now) <= now
--- a/packages/node/src/crocusroad_node/exchanges/_call.py
+++ b/packages/node/src/crocusroad_node/exchanges/_call.py
@@ -28,6 +28,7 @@
     request_id: bytes
     is_head: bool = False
     freshness: float | None = None  # see LinkPool.take
+    acknowledgement: bytes = b''  # sent when the first bytes of an answer come
 
 
 class Call:
@@ -94,8 +95,13 @@
             self._message.request_id,
             self._ended,
             is_head=self._message.is_head,
+            on_begun=self._begun,
         )
 
+    def _begun(self) -> None:
+        if self._link is not None and self._message.acknowledgement:
+            self._link.add(self._message.acknowledgement)
+
     def _ended(self, outcome: Outcome) -> None:
         self._timer.cancel()
         self._has_begun = self.has_begun
--- a/packages/node/src/crocusroad_node/exchanges/_link.py
+++ b/packages/node/src/crocusroad_node/exchanges/_link.py
@@ -27,6 +27,10 @@
 OnEnd = Callable[[Outcome], None]
 
 
+def _ignore() -> None:
+    """Care nothing for the first bytes."""
+
+
 class Link(asyncio.Protocol):
     """One connection, with at most one exchange at a time."""
 
@@ -40,6 +44,7 @@
         self._transport: asyncio.Transport | None = None
         self._reading: Reading | None = None
         self._on_end: OnEnd | None = None
+        self._on_begun: Callable[[], None] = _ignore
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the open connection."""
@@ -60,8 +65,13 @@
         on_end: OnEnd,
         *,
         is_head: bool = False,
+        on_begun: Callable[[], None] = _ignore,
     ) -> None:
-        """Send a request; `on_end` is told once what came of it."""
+        """Send a request; `on_end` is told once what came of it.
+
+        `on_begun` is told before that when the first bytes come.
+        """
+        self._on_begun = on_begun
         self.has_begun = False
         self._on_end = on_end
         self._reading = Reading(self._id_header, request_id, is_head=is_head)
@@ -74,7 +84,7 @@
         if reading is None:
             self.close()  # bytes that nobody asked for
             return
-        self.has_begun = True
+        self._begin_answer()
         try:
             reading.feed(data)
         except httptools.HttpParserError:
@@ -85,6 +95,11 @@
         if reading.whole is not None:
             self._complete(reading)
 
+    def add(self, raw: bytes) -> None:
+        """Send more while the answer is awaited."""
+        if self._reading is not None and self._transport is not None:
+            self._transport.write(raw)
+
     def eof_received(self) -> None:
         """Take the orderly end of what the other end sends."""
         reading = self._reading
@@ -104,6 +119,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _begin_answer(self) -> None:
+        if not self.has_begun:
+            self.has_begun = True
+            self._on_begun()
+
     def _complete(self, reading: Reading) -> None:
         transport = self._transport
         is_read = (
--- a/packages/node/src/crocusroad_node/gateway/_assembly.py
+++ b/packages/node/src/crocusroad_node/gateway/_assembly.py
@@ -82,7 +82,13 @@
         lambda shards: backlog.add(shards * cost, monotonic()),
     )
     gateway = Gateway(parts, monotonic)
-    desk = DelegatedDesk(directory, backlog, is_serving, gateway.coordinate)
+    desk = DelegatedDesk(
+        directory,
+        backlog,
+        is_serving,
+        gateway.coordinate,
+        dialect.headers.request_id,
+    )
 
     def is_asked(service: str) -> bool:
         if not directory.is_shard(service):
--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -38,6 +38,9 @@
     connections: set['CallerConnection']
     acknowledged: bytes  # requests with this header are, at once; b'': none
 
+    def hears(self, req: CallerRequest) -> bool:
+        """Tell whether a request is news that nobody answers."""
+
 
 class CallerConnection(asyncio.Protocol):
     """Reads requests one after the other, and answers them in order."""
@@ -143,8 +146,10 @@
             b''.join(self._body),
             monotonic(),
         )
-        self._waiting.append((req, self._parser.should_keep_alive()))
         self._start_message()
+        if self._host.hears(req):
+            return
+        self._waiting.append((req, self._parser.should_keep_alive()))
         self._next()
 
     def close_if_idle(self) -> None:
--- a/packages/node/src/crocusroad_node/gateway/_delegated.py
+++ b/packages/node/src/crocusroad_node/gateway/_delegated.py
@@ -2,20 +2,36 @@
 
 from collections.abc import Callable
 from time import monotonic
+from typing import NamedTuple
 
 from crocusroad_core.coordinators import Backlog
 from crocusroad_node.counters import ACCEPTED
 from crocusroad_node.gateway._delegated_head import (
+    BUSY,
+    CONFIRMED,
     Delegated,
     decode_delegated,
     not_accepted,
     undelegated,
 )
 from crocusroad_node.gateway._directory import Directory
-from crocusroad_node.gateway._reply import Answer, nothing_to_stop, refuse
+from crocusroad_node.gateway._reply import (
+    Answer,
+    Reply,
+    nothing_to_stop,
+    refuse,
+)
 from crocusroad_node.gateway._request import CallerRequest
 
-Begin = Callable[[CallerRequest, Answer], Callable[[], None]]
+
+class Coordinated(NamedTuple):
+    """A fan-out that is worked on for another instance."""
+
+    stop: Callable[[], None]
+    confirm: Callable[[], None]  # the giver relies on this instance
+
+
+Coordinate = Callable[[CallerRequest, Answer], Coordinated]
 
 
 class DelegatedDesk:
@@ -26,12 +42,15 @@
         directory: Directory,
         backlog: Backlog,
         is_serving: Callable[[], bool],
-        begin: Begin,
+        coordinate: Coordinate,
+        id_header: bytes,
     ) -> None:
         self._directory = directory
         self._backlog = backlog
         self._is_serving = is_serving
-        self._begin = begin
+        self._coordinate = coordinate
+        self._id_header = id_header
+        self._open: dict[bytes, Callable[[], None]] = {}  # by request id
 
     def begin(self, req: CallerRequest, answer: Answer) -> Callable[[], None]:
         """Begin a fan-out, or say why the giver has to do it."""
@@ -44,7 +63,38 @@
         if why:
             answer(not_accepted(why))
             return nothing_to_stop
-        return self._begin(undelegated(req, told), answer)
+        return self._start(undelegated(req, told), answer)
+
+    def hears(self, req: CallerRequest) -> bool:
+        """Take a confirmation, which is not answered; tell whether it is one.
+
+        Until it comes the giver may still ask replicas itself, so that a
+        second replica of a shard would be one too many.
+        """
+        request_id = req.header(CONFIRMED)
+        if request_id in self._open:
+            self._open[request_id]()
+        return bool(request_id)
+
+    def _start(self, req: CallerRequest, answer: Answer) -> Callable[[], None]:
+        request_id = req.header(self._id_header)
+        is_over = False
+
+        def end(reply: Reply) -> None:
+            nonlocal is_over
+            is_over = True
+            self._open.pop(request_id, None)
+            answer(reply)
+
+        work = self._coordinate(req, end)
+        if not is_over:
+            self._open[request_id] = work.confirm
+
+        def stop() -> None:
+            self._open.pop(request_id, None)
+            work.stop()
+
+        return stop
 
     def _objection(self, told: Delegated) -> str:
         if not self._is_serving():
@@ -55,5 +105,5 @@
         if table is None or table.version != told.version:
             return 'other version'
         if not self._backlog.is_short(monotonic()):
-            return 'busy'
+            return BUSY
         return ''
--- a/packages/node/src/crocusroad_node/gateway/_delegated_head.py
+++ b/packages/node/src/crocusroad_node/gateway/_delegated_head.py
@@ -6,7 +6,9 @@
 from crocusroad_node.gateway._request import CallerRequest, forwarded
 
 DELEGATED: Final = b'crocusroad-delegated'
+CONFIRMED: Final = b'crocusroad-confirmed'
 NOT_ACCEPTED: Final = b'crocusroad-not-accepted'
+BUSY: Final = 'busy'  # why a fan-out is not accepted
 US_PER_SECOND: Final = 1_000_000
 
 
@@ -27,6 +29,18 @@
     return head % (req.method, req.target, b''.join(lines)) + req.body
 
 
+def encode_confirmed(request_id: bytes) -> bytes:
+    """Return what tells a coordinator that the giver relies on it."""
+    return b'\r\n'.join(
+        (
+            b'POST /confirmed HTTP/1.1',
+            b'Host: coordinator',
+            b'%b: %b' % (CONFIRMED, request_id),
+            b'Content-Length: 0\r\n\r\n',
+        ),
+    )
+
+
 def decode_delegated(req: CallerRequest) -> Delegated | None:
     """Return what the giver tells; None if it is not understood."""
     words = req.header(DELEGATED).split()
--- a/packages/node/src/crocusroad_node/gateway/_delegation.py
+++ b/packages/node/src/crocusroad_node/gateway/_delegation.py
@@ -18,8 +18,10 @@
     Response,
 )
 from crocusroad_node.gateway._delegated_head import (
+    BUSY,
     NOT_ACCEPTED,
     Delegated,
+    encode_confirmed,
     encode_delegated,
 )
 from crocusroad_node.gateway._request import CallerRequest
@@ -48,6 +50,14 @@
     deadline: float
 
 
+class Place(NamedTuple):
+    """Where a fan-out is given."""
+
+    member: Member
+    pool: LinkPool
+    way: float  # seconds, there and back
+
+
 class Told(Protocol):
     """Takes what came of a fan-out that was given away; told once."""
 
@@ -61,6 +71,19 @@
         """Take that a coordinator has worked on it and cannot answer."""
 
 
+REFUSED: Final = 'refused'
+ANSWERED: Final = 'answered'
+CALLER_LEFT: Final = 'caller left'
+_FINE: Final = frozenset((ANSWERED, CALLER_LEFT))
+
+
+class End(NamedTuple):
+    """How a fan-out ended at a coordinator."""
+
+    outcome: str
+    why: str = ''  # it was refused
+
+
 class Delegations:
     """Gives fan-outs to the instances that are faster."""
 
@@ -77,30 +100,37 @@
 
     def begin(self, job: Job, told: Told) -> Callable[[], None] | None:
         """Give a fan-out away; return what stops it, or None if it stays."""
+        delegation = _Delegation(job, self, told)
+        return delegation.stop if delegation.begin() else None
+
+    def choose(self, job: Job) -> Place | None:
+        """Return where to give a fan-out; None if it stays."""
         member = self._coordinators.choose(job.shards, monotonic())
         if member is None:
             return None
         self._coordinators.on_given(member, job.shards)
         way = way_seconds(self._own, member)
-        return _Delegation(job, member, self, told).begin(
-            self._pool(member), way
-        )
+        return Place(member, self._pool(member), way)
 
-    def on_over(self, member: Member, job: Job, outcome: str) -> None:
+    def on_over(self, member: Member, job: Job, ending: End) -> None:
         """Take the end of one, and what it says of the coordinator."""
-        DELEGATED.labels(outcome).inc()
+        DELEGATED.labels(ending.outcome).inc()
         self._coordinators.on_over(member, job.shards)
+        if ending.outcome in _FINE:
+            return
+        note(
+            _logger,
+            'coordinator passed over',
+            coordinator=member.name,
+            id=job.request_id.decode('latin-1'),
+            outcome=ending.outcome,
+            why=ending.why,
+        )
         now = monotonic()
-        if outcome in _REFUSALS:
-            self._coordinators.on_refusal(member, now)
-        elif outcome in _SILENCES:
-            note(
-                _logger,
-                'coordinator passed over',
-                coordinator=member.name,
-                id=job.request_id.decode('latin-1'),
-                outcome=outcome,
-            )
+        if ending.outcome == REFUSED:
+            is_busy = ending.why == BUSY
+            self._coordinators.on_refusal(member, now, is_busy=is_busy)
+        else:
             self._coordinators.on_silence(member, now)
 
     def _pool(self, member: Member) -> LinkPool:
@@ -113,88 +143,102 @@
         return pool
 
 
-_REFUSALS: Final = frozenset(('not accepted',))
-_SILENCES: Final = frozenset(('unreached', 'silent', 'lost'))
-
-
 class _Delegation:
-    """One fan-out at a coordinator."""
+    """One fan-out, at one coordinator after the other until one accepts."""
 
-    def __init__(
-        self,
-        job: Job,
-        member: Member,
-        desk: Delegations,
-        told: Told,
-    ) -> None:
+    def __init__(self, job: Job, desk: Delegations, told: Told) -> None:
         self._job = job
-        self._member = member
         self._desk = desk
         self._told = told
         self._loop = asyncio.get_running_loop()
+        self._place: Place | None = None  # None: it is over
         self._call: Call | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._is_over = False
 
-    def begin(self, pool: LinkPool, way: float) -> Callable[[], None]:
-        """Send it; return what stops it."""
+    def begin(self) -> bool:
+        """Send it; tell whether there is an instance to send it to."""
         job = self._job
+        place = self._desk.choose(job)
+        if place is None:
+            return False
+        self._place = place
 
         def make(now: float) -> bytes:
-            passed = now - job.req.received_at + way
+            passed = now - job.req.received_at + place.way
             return encode_delegated(job.req, Delegated(job.version, passed))
 
-        message = Message(make, job.request_id, job.req.is_head)
-        due = monotonic() + ACK_SECONDS + way
+        message = Message(
+            make,
+            job.request_id,
+            job.req.is_head,
+            acknowledgement=encode_confirmed(job.request_id),
+        )
+        due = monotonic() + ACK_SECONDS + place.way
         self._timer = self._loop.call_at(due, self._look, due)
-        self._call = Call(pool, message, job.deadline, self._ended)
-        return self._stop
+        self._call = Call(place.pool, message, job.deadline, self._ended)
+        return True
+
+    def stop(self) -> None:
+        """Stop the work there: the caller has left."""
+        call = self._call
+        if self._finish(End(CALLER_LEFT)) and call is not None:
+            call.kill()
 
     def _look(self, due: float) -> None:
         """Take the job back if the coordinator has not said that it works."""
         call = self._call
-        if self._is_over or call is None or call.has_begun:
+        if call is None or call.has_begun:
             return
         now = monotonic()
         if now - due > LATE_SECONDS:
             again = now + READ_SECONDS
             self._timer = self._loop.call_at(again, self._look, again)
             return
-        is_sent = call.is_sent
         call.kill()
-        self._keep('silent' if is_sent else 'unreached', may_have_run=is_sent)
+        if call.is_sent:
+            self._keep(End('silent'))
+        else:
+            self._move_on(End('unreached'))
 
     def _ended(self, ending: Ending) -> None:
         outcome = ending.outcome
+        place = self._place
         if isinstance(outcome, FailureReason):
             self._failed(outcome)
-        elif outcome.header(NOT_ACCEPTED) is not None:
-            self._keep('not accepted', may_have_run=False)
-        elif self._finish('answered'):
-            self._told.on_reply(outcome, self._member.name)
+            return
+        refusal = outcome.header(NOT_ACCEPTED)
+        if refusal is not None:
+            self._move_on(End(REFUSED, refusal.decode('latin-1')))
+        elif self._finish(End(ANSWERED)) and place is not None:
+            self._told.on_reply(outcome, place.member.name)
 
     def _failed(self, reason: FailureReason) -> None:
+        call = self._call
+        place = self._place
         if reason.is_unreached:
-            self._keep('unreached', may_have_run=False)
-        elif self._call is None or not self._call.has_begun:
-            self._keep('silent', may_have_run=True)
-        elif self._finish('lost'):
-            self._told.on_lost(reason, self._member.name)
-
-    def _keep(self, outcome: str, *, may_have_run: bool) -> None:
-        if self._finish(outcome):
-            self._told.on_kept(may_have_run=may_have_run)
-
-    def _stop(self) -> None:
-        if self._finish('caller left') and self._call is not None:
-            self._call.kill()
-
-    def _finish(self, outcome: str) -> bool:
-        """End it once; tell whether it was still open."""
-        if self._is_over:
+            self._move_on(End('unreached'))
+        elif call is None or not call.has_begun:
+            self._keep(End('silent'))
+        elif self._finish(End('lost')) and place is not None:
+            self._told.on_lost(reason, place.member.name)
+
+    def _move_on(self, end: End) -> None:
+        """Try the next coordinator: this one has not begun."""
+        if self._finish(end) and not self.begin():
+            self._told.on_kept(may_have_run=False)
+
+    def _keep(self, end: End) -> None:
+        if self._finish(end):
+            self._told.on_kept(may_have_run=True)
+
+    def _finish(self, end: End) -> bool:
+        """End it at this coordinator; tell whether it was still open."""
+        place = self._place
+        if place is None:
             return False
-        self._is_over = True
+        self._place = None
+        self._call = None
         if self._timer is not None:
             self._timer.cancel()
-        self._desk.on_over(self._member, self._job, outcome)
+        self._desk.on_over(place.member, self._job, end)
         return True
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -9,12 +9,14 @@
 from crocusroad_core.repeats import RepeatBudgets
 from crocusroad_core.routes import Route, WeightedTurns
 from crocusroad_node.counters import OUTCOMES, REFUSALS, SECONDS
+from crocusroad_node.gateway._delegated import Coordinated
 from crocusroad_node.gateway._delegation import Delegations, Job
 from crocusroad_node.gateway._dialect import Dialect
 from crocusroad_node.gateway._directory import Directory
 from crocusroad_node.gateway._given import Given, Ways
 from crocusroad_node.gateway._heads import encoder
 from crocusroad_node.gateway._plans import (
+    Allowance,
     Target,
     Times,
     deadline_of,
@@ -84,13 +86,29 @@
         """Begin the work on a request; return what stops it."""
         return self._begin(req, answer, self._give)
 
-    def coordinate(
-        self,
-        req: CallerRequest,
-        answer: Answer,
-    ) -> Callable[[], None]:
-        """Begin the work on a request that another instance gave."""
-        return self._begin(req, answer, self._ask)
+    def coordinate(self, req: CallerRequest, answer: Answer) -> Coordinated:
+        """Begin the work on a request that another instance gave.
+
+        One replica of each shard is asked until that one confirms.
+        """
+        asked: list[tuple[Query, int]] = []
+
+        def work(
+            req: CallerRequest,
+            target: Target,
+            answer: Answer,
+        ) -> Callable[[], None]:
+            query = self._query(req, target, answer, Allowance(1))
+            asked.append((query, target.route.max_replicas))
+            return self._start(req, target, query)
+
+        stop = self._begin(req, answer, work)
+
+        def confirm() -> None:
+            for query, max_replicas in asked:
+                query.allow(max_replicas)
+
+        return Coordinated(stop, confirm)
 
     def _begin(
         self,
@@ -155,7 +173,11 @@
     ) -> Ways:
         def ask(is_repeat: bool) -> Callable[[], None]:
             self.in_flight -= 1
-            return self._ask(req, target, answer, is_repeat=is_repeat)
+            if not is_repeat:
+                return self._ask(req, target, answer)
+            allowance = Allowance(1, is_repeat=True)
+            query = self._query(req, target, answer, allowance)
+            return self._start(req, target, query)
 
         def end(reply: Reply, outcome: str, coordinator: str) -> None:
             self.in_flight -= 1
@@ -180,9 +202,19 @@
         req: CallerRequest,
         target: Target,
         answer: Answer,
-        *,
-        is_repeat: bool = False,
     ) -> Callable[[], None]:
+        """Ask the replicas as often as the route allows."""
+        allowance = Allowance(target.route.max_replicas)
+        query = self._query(req, target, answer, allowance)
+        return self._start(req, target, query)
+
+    def _query(
+        self,
+        req: CallerRequest,
+        target: Target,
+        answer: Answer,
+        allowance: Allowance,
+    ) -> Query:
         parts = self._parts
         route = target.route
         now = self._clock()
@@ -198,7 +230,7 @@
             parts.directory,
             times,
             punctual.margin,
-            is_repeat=is_repeat,
+            allowance,
         )
         query = Query(
             Gather(plan, parts.policies.policy_for(route, plan.answer_by)),
@@ -213,6 +245,14 @@
                 plan.answer_by,
             ),
         )
+        return query
+
+    def _start(
+        self,
+        req: CallerRequest,
+        target: Target,
+        query: Query,
+    ) -> Callable[[], None]:
         self.in_flight += 1
         query.begin()
 
--- a/packages/node/src/crocusroad_node/gateway/_plans.py
+++ b/packages/node/src/crocusroad_node/gateway/_plans.py
@@ -27,6 +27,13 @@
     shards: tuple[str, ...]  # services; one of them for requests to one
 
 
+class Allowance(NamedTuple):
+    """How replicas may be asked for a request."""
+
+    max_replicas: int  # of each shard
+    is_repeat: bool = False  # another instance may have asked one already
+
+
 def deadline_of(req: CallerRequest, route: Route, header: bytes) -> float:
     """Return when the caller, or the operator, lets the request end."""
     text = req.header(header)
@@ -41,8 +48,7 @@
     directory: Directory,
     req_times: 'Times',
     margin: float,
-    *,
-    is_repeat: bool = False,
+    allowance: Allowance,
 ) -> Plan:
     """Return the plan of a request over the shards of one configuration."""
     route = target.route
@@ -54,9 +60,8 @@
         deadline=req_times.deadline,
         is_repeatable=route.is_repeatable,
         merge=merge_greatest if route.is_fan_out else take_single,
-        # Where another instance may have asked a replica, one more is left.
-        max_replicas=1 if is_repeat else route.max_replicas,
-        is_repeat=is_repeat,
+        max_replicas=allowance.max_replicas,
+        is_repeat=allowance.is_repeat,
         least_share=route.least_share if route.is_fan_out else 1,
         answer_by=answer_by,
         hedge_time=HEDGE_SHARE * route.objective,
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -116,6 +116,11 @@
         """Send the first attempts."""
         self._carry_out(self._gather.begin(monotonic()))
 
+    def allow(self, max_replicas: int) -> None:
+        """Take how many replicas of each shard may be asked from now on."""
+        self._gather.allow(max_replicas, monotonic())
+        self._carry_out([])
+
     def stop(self) -> None:
         """Stop the work everywhere: the caller has left."""
         self._on_finish = None
--- a/packages/node/src/crocusroad_node/gateway/_sourced.py
+++ b/packages/node/src/crocusroad_node/gateway/_sourced.py
@@ -70,7 +70,8 @@
     ) -> Result[Batch, StoreFault] | None:
         """Ask one source after the other; None if none answers."""
         self._direct.discard(prefix)
-        sources = self._ring.sources(monotonic())
+        is_cut = self._is_too_soon(prefix)
+        sources = self._ring.sources(monotonic(), is_cut=is_cut)
         while sources:
             source = sources.pop(0)
             reply = await self._ask(source, prefix, after, wait)
@@ -92,7 +93,7 @@
                 monotonic(),
                 is_silent=fault is not StoreFault.behind,
             )
-        if self._ring.has_readers and self._is_too_soon(prefix):
+        if self._ring.has_readers and is_cut:
             return Failure(StoreFault.behind)
         self._direct.add(prefix)
         return None
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -24,6 +24,7 @@
 from crocusroad_node.gateway._pages import metrics_page, ready_page
 from crocusroad_node.gateway._relay_desk import RelayDesk
 from crocusroad_node.gateway._reload import Reloader
+from crocusroad_node.gateway._request import CallerRequest
 from crocusroad_node.gateway._sourced import SourcedStore
 from crocusroad_node.logs import note
 from crocusroad_node.node_life import NodeLife
@@ -62,6 +63,10 @@
     reread: Callable[[], Result[GatewaySettings, str]]  # the settings, anew
 
 
+def _hears_nothing(req: CallerRequest) -> bool:
+    return False
+
+
 class Door:
     """What the callers' connections share."""
 
@@ -70,9 +75,11 @@
         directory: Directory,
         life: NodeLife,
         acknowledged: bytes = b'',
+        hears: Callable[[CallerRequest], bool] = _hears_nothing,
     ) -> None:
         self.connections: set[CallerConnection] = set()
         self.acknowledged = acknowledged  # header; b'': none
+        self.hears = hears
         self._directory = directory
         self._life = life
 
@@ -110,7 +117,7 @@
     )
     _listen_to_signals(life, reloader)
     own_door = Door(directory, life)
-    relay_door = Door(directory, life, acknowledged=DELEGATED)
+    relay_door = Door(directory, life, DELEGATED, built.delegated.hears)
     begin_relayed = relayed(built.delegated, desk.begin)
     servers = await _listen_all(
         cfg,
--- a/tests/features/coordinators.feature
+++ b/tests/features/coordinators.feature
@@ -62,6 +62,13 @@
     Then it is answered with 9 of 10 shards
     And each replica was asked once, for a repeat each
 
+  Scenario: Shards are asked at one replica until more are allowed
+    Given a fan-out to 3 shards with 3 replicas each, of which 1 may be asked
+    When nothing is answered when hedges are due
+    Then no second replica is asked
+    When 2 may be asked and hedges are due again
+    Then each shard has been asked at 2 replicas
+
   Scenario: A fan-out begun elsewhere is never said not to have run
     Given a fan-out to 10 shards, 8 of which are enough, begun elsewhere before
     And 0 of its shards have a repeat left
--- a/tests/features/fleet_processes.feature
+++ b/tests/features/fleet_processes.feature
@@ -121,6 +121,12 @@
     And a route is added
     Then within 3 seconds each gateway serves it
 
+  Scenario: A reader that is cut off from the store learns from the other
+    Given a fleet with 2 gateways
+    When g1 is cut off from the store
+    And a route is added
+    Then within 3 seconds each gateway serves it
+
   Scenario: A fleet whose reader is killed goes on learning
     Given a fleet with 4 gateways
     When a gateway that reads the store is killed
--- a/tests/features/steps/fleet_processes.py
+++ b/tests/features/steps/fleet_processes.py
@@ -498,6 +498,15 @@
     context.fleet.store.refused.pop()  # the other one goes on reading
 
 
+@when('{name} is cut off from the store')
+def step_cut_off(context, name):
+    store = context.fleet.store
+    store.refused.add(context.fleet.store_host(name))
+    # The watch that is open would still be answered with the next change.
+    store.cut(context.fleet.store_host(name))
+    run(context, asyncio.sleep(0.5))
+
+
 @when('a gateway that reads the store is killed')
 def step_reader_killed(context):
     context.fleet.store.watchers.clear()
--- a/tests/properties/fleet.py
+++ b/tests/properties/fleet.py
@@ -188,6 +188,7 @@
         for number, zone in homes
     ]
     readers = set()
+    known_to_readers = []
     for own in members:
         ring = SourceRing(own)
         shuffled = members[:]
@@ -196,7 +197,10 @@
         asked = ring.sources(0)
         if ring.is_reader:
             assert not asked
+            others = {one.name for one in ring.sources(0, is_cut=True)}
+            assert own.name not in others
             readers.add(own.name)
+            known_to_readers.append(others | {own.name})
         else:
             assert len(asked) >= min(2, len(members) - 1)
             ring.on_fault(asked[0], 0, is_silent=True)
@@ -206,6 +210,7 @@
                 ring.on_fault(source, 10, is_silent=True)
             assert ring.sources(11) == []  # the store itself
     assert 1 <= len(readers) <= max(2, len(members) // 8)
+    assert all(known == readers for known in known_to_readers)
 
 
 writes = st.lists(
