Weigh how often a replica refused or failed of late

Ruled out: the tokens in all (290 there, 120 spent); slots that are full (the load reports were low).

Change: LossView, the share of lost attempts of late, costs a replica up to 100 ms in the choice and fades in 6 s without attempts.

--- a/packages/core/src/crocusroad_core/routing/_replica_state.py
+++ b/packages/core/src/crocusroad_core/routing/_replica_state.py
@@ -6,6 +6,7 @@
 from crocusroad_core.fronts import Replica
 from crocusroad_core.routing._group import Group
 from crocusroad_core.routing._load_view import LoadView
+from crocusroad_core.routing._loss_view import LossView
 from crocusroad_core.routing._zones import Zone
 
 LATENCY_WEIGHT: Final = 0.2  # of a new sample in the mean
@@ -52,6 +53,7 @@
         'group',
         'is_listed_leaving',
         'load',
+        'losses',
         'replica',
         'zone',
     )  # fmt: skip
@@ -67,6 +69,7 @@
         self.zone = zone
         self.group = group
         self.load = LoadView(now)
+        self.losses = LossView()
         self.is_listed_leaving = False
         self._latency = _NONE  # seconds, moving mean; 0: never seen
         self._fastest = _NONE  # seconds
@@ -121,6 +124,7 @@
         slots = self.replica.slots * self._ramp(now)
         held = self.load.held(self._answered_at, peers, now) + 1
         score = expected * (1 + held / slots) + self._overdue(expected, now)
+        score += self.losses.cost(now)
         if self._is_unhealthy or self._failures:
             score += DEAD_SECONDS * self.looks_dead(now)
         return score
@@ -149,6 +153,7 @@
         if self._failures >= DOWN_FAILURES:
             self._warm_from = now
         self._failures = 0
+        self.losses.take(now, is_lost=False)
         self.take_life(now)
         self.take_latency(latency, now)
 
@@ -170,6 +175,7 @@
 
     def take_failure(self, now: float) -> None:
         """Back off, twice as long after each failure in a row."""
+        self.losses.take(now, is_lost=True)
         factor = 2 ** min(self._failures, DOUBLINGS)
         self._failures += 1
         pause = min(MOST_BACKOFF_SECONDS, BACKOFF_SECONDS * factor)
--- a/packages/core/src/crocusroad_core/routing/_router.py
+++ b/packages/core/src/crocusroad_core/routing/_router.py
@@ -133,6 +133,8 @@
             state.take_failure(now)
         elif reason in _PAUSES:
             state.take_full(_PAUSES[reason], now)
+            if reason is FailureReason.shed:
+                state.losses.take(now, is_lost=True)
             state.load.take_report(SHED_LOAD, replica.slots, now)
         elif reason is FailureReason.draining:
             state.take_drain(now)
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -120,3 +120,14 @@
       | fails              | seconds |
       | answers nothing    | 5       |
       | has lost the store | 0.4     |
+
+  Scenario Outline: Of replicas that refuse part of their requests few are asked
+    Given a router that knows 2 replicas alike
+    When 14 requests a second come for 9 seconds and <refusing> refuse 0.6
+    Then at most <share> of them are refused
+    And once none has refused for 8 seconds, each is asked while the other is busy
+
+    Examples:
+      | refusing | share |
+      | one      | 0.05  |
+      | both     | 0.7   |
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -1,3 +1,4 @@
+from collections import Counter
 from random import Random
 
 from behave import given, then, when
@@ -341,3 +342,60 @@
     ring, first = context.ring, context.sources[0]
     assert first not in ring.sources(seconds - 0.01)
     assert first in ring.sources(seconds + 0.01)
+
+
+@when(
+    '{rate:d} requests a second come for {seconds:d} seconds and {refusing}'
+    ' refuse {part:g}'
+)
+def step_refusing(context, rate, seconds, refusing, part):
+    count = {'one': 1, 'both': 2}[refusing]
+    context.now = 20.0
+    context.rate = rate
+    context.refused, _ = ask_at(context, seconds, context.all[:count], part)
+
+
+def ask_at(context, seconds, refusing, part):
+    """Return the share that is refused, and how many each replica got."""
+    draw, router, running = Random(3), context.router, []
+    asked = Counter()
+    refused = 0
+    for _ in range(context.rate * seconds):
+        context.now += 1 / context.rate
+        while running and running[0][0] <= context.now:
+            at, one = running.pop(0)
+            router.on_reply(one, USUAL, 0.0, at)
+        one = router.pick('s', context.all, context.now)
+        router.on_sent(one, context.now)
+        asked[one.name] += 1
+        if one in refusing and draw.random() < part:
+            refused += 1
+            router.on_lost(one, FailureReason.shed, 0, context.now + 0.001)
+        else:
+            running.append((context.now + USUAL, one))
+    for at, one in running:
+        router.on_reply(one, USUAL, 0.0, at)
+    context.now += USUAL
+    return refused / asked.total(), asked
+
+
+@then('at most {share:g} of them are refused')
+def step_refused_share(context, share):
+    assert context.refused <= share, context.refused
+
+
+@then(
+    'once none has refused for {seconds:d} seconds, each is asked while the'
+    ' other is busy'
+)
+def step_both_again(context, seconds):
+    ask_at(context, seconds, (), 0)
+    for _ in range(2):
+        first = context.router.pick('s', context.all, context.now)
+        context.router.on_sent(first, context.now)
+        second = context.router.pick('s', context.all, context.now)
+        assert second != first
+        context.router.on_sent(second, context.now)
+        for one in (first, second):
+            context.router.on_reply(one, USUAL, 0.0, context.now + USUAL)
+        context.now += 1
