Ask replicas again whose service was configured after they were known

The router held each replica as it was first known, before the configuration named its service, with 1 connection and not as a shard's; retries name it as it is now, found no equal and gave up. Its pool also stayed at 1 connection.

Change: the router and the pools take what is said of a replica anew, and compare replicas by name and address. A fan-out that cannot have enough shards sends nothing and is refused as not run; where shards are unknown it may come back after 0.5 s.

--- a/packages/core/src/crocusroad_core/gather/__init__.py
+++ b/packages/core/src/crocusroad_core/gather/__init__.py
@@ -2,6 +2,7 @@
 
 from crocusroad_core.gather._attempt import Attempt, AttemptRole
 from crocusroad_core.gather._command import Cancel, Command, Finish, Send
+from crocusroad_core.gather._conclude import REASON_NO_REPLICA
 from crocusroad_core.gather._event import FailureReason, Lost, Reply
 from crocusroad_core.gather._gather import Gather
 from crocusroad_core.gather._outcome import Outcome, Suspect
@@ -10,6 +11,7 @@
 from crocusroad_core.gather._punctuality import Punctuality
 
 __all__ = [
+    'REASON_NO_REPLICA',
     'Another',
     'Attempt',
     'AttemptRole',
--- a/packages/core/src/crocusroad_core/gather/_flight.py
+++ b/packages/core/src/crocusroad_core/gather/_flight.py
@@ -88,6 +88,12 @@
                 commands.append(self.send(part, replica, now, self._first_role))
         return commands
 
+    def unsend(self) -> None:
+        """Forget the first attempts, which have not been sent yet."""
+        self.running.clear()
+        for part in self.parts.values():
+            part.stop()
+
     def allow(self, max_replicas: int) -> None:
         """Take how many replicas of each shard may be asked from now on."""
         self.plan = self.plan._replace(max_replicas=max_replicas)
--- a/packages/core/src/crocusroad_core/gather/_gather.py
+++ b/packages/core/src/crocusroad_core/gather/_gather.py
@@ -48,6 +48,10 @@
     def begin(self, now: float) -> list[Command]:
         """Send the first attempts."""
         commands = self._flight.start(self._plan.shard_map, now)
+        if self._plan.least_share and self._flight.is_hopeless:
+            # Nothing is sent in vain, and the refusal may say so.
+            self._flight.unsend()
+            commands = []
         return self._settle(commands, now)
 
     def allow(self, max_replicas: int, now: float) -> None:
--- a/packages/core/src/crocusroad_core/routing/_replicas.py
+++ b/packages/core/src/crocusroad_core/routing/_replicas.py
@@ -46,6 +46,8 @@
         group = Group()
         for replica in replicas:
             state = self.state(replica, now)
+            # Its slots and connections may be said anew.
+            state.replica = replica
             state.group = group
             group.states[key_of(replica)] = state
         self._fronts[front] = group
--- a/packages/core/src/crocusroad_core/routing/_shard_view.py
+++ b/packages/core/src/crocusroad_core/routing/_shard_view.py
@@ -4,6 +4,7 @@
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.routing._replica_state import ReplicaState
+from crocusroad_core.routing._replicas import key_of
 
 VIEW_SECONDS: Final = 10.0
 
@@ -43,4 +44,6 @@
         """Return the states of those candidates that the view has."""
         if len(candidates) == len(self.replicas):
             return self.states
-        return [one for one in self.states if one.replica in candidates]
+        # What is said of a replica may have changed since the query began.
+        keys = {key_of(one) for one in candidates}
+        return [one for one in self.states if key_of(one.replica) in keys]
--- a/packages/node/src/crocusroad_node/exchanges/_pool.py
+++ b/packages/node/src/crocusroad_node/exchanges/_pool.py
@@ -65,6 +65,11 @@
         last = self._idle[-1]
         return last.is_open and monotonic() < last.idle_until
 
+    @property
+    def most(self) -> int:
+        """Return how many connections may be open."""
+        return max(1, self._limit())
+
     def take(self, on_taken: OnTaken, freshness: float | None = None) -> Waiter:
         """Take a link; `on_taken` gets it, or why there is none.
 
@@ -79,7 +84,7 @@
             waiter.give(link)
             return waiter
         self._waiters.append(waiter)
-        if self._open < max(1, self._limit()):
+        if self._open < self.most:
             self._start_opening()
         return waiter
 
@@ -98,7 +103,7 @@
 
     def warm(self, count: int) -> None:
         """Open connections ahead of need, up to `count` in all."""
-        while self._open < min(count, max(1, self._limit())):
+        while self._open < min(count, self.most):
             self._start_opening()
 
     def close(self) -> None:
@@ -125,7 +130,7 @@
     def _forget(self) -> None:
         self._open -= 1
         is_wanted = any(not one.is_over for one in self._waiters)
-        if is_wanted and self._open < max(1, self._limit()):
+        if is_wanted and self._open < self.most:
             self._start_opening()
 
     def _start_opening(self) -> None:
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -5,7 +5,13 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
-from crocusroad_core.gather import Finish, Gather, Outcome, Punctuality
+from crocusroad_core.gather import (
+    REASON_NO_REPLICA,
+    Finish,
+    Gather,
+    Outcome,
+    Punctuality,
+)
 from crocusroad_core.repeats import RepeatBudgets
 from crocusroad_core.routes import Route, WeightedTurns
 from crocusroad_node.counters import OUTCOMES, REFUSALS, SECONDS
@@ -58,6 +64,12 @@
 Work = Callable[[CallerRequest, Target, Answer], Callable[[], None]]
 
 
+def _pause_after(finish: Finish) -> float:
+    """Return when a request that did not run may come again."""
+    reasons = {one['reason'] for one in finish.coverage['missing']}
+    return UNKNOWN_SECONDS if REASON_NO_REPLICA in reasons else BUSY_SECONDS
+
+
 class Parts(NamedTuple):
     """What the gateway works with."""
 
@@ -319,7 +331,8 @@
             return pass_on(only, self._internal)
         if not finish.may_have_run:
             REFUSALS.labels('no-replica').inc()
-            return refuse(503, 'no replica could run it', BUSY_SECONDS)
+            pause = _pause_after(finish)
+            return refuse(503, 'no replica could run it', pause)
         if query.failure is not None and not target.route.is_fan_out:
             return pass_on(query.failure, self._internal)
         return _failed(finish.outcome)
--- a/packages/node/src/crocusroad_node/gateway/_pools.py
+++ b/packages/node/src/crocusroad_node/gateway/_pools.py
@@ -28,6 +28,7 @@
         self._count = FIRST_COUNT
         self._fan_out_weight: float = 1
         self._pools: dict[str, LinkPool] = {}
+        self._replicas: dict[str, Replica] = {}  # as last said, by address
 
     def on_instances(self, count: int, fan_out_weight: float) -> None:
         """Take how many instances there are, and this one's weight."""
@@ -46,6 +47,7 @@
 
     def pool(self, replica: Replica) -> LinkPool:
         """Return the pool of a replica's address."""
+        self._replicas[replica.address] = replica
         pool = self._pools.get(replica.address)
         if pool is None:
             pool = self._build(replica)
@@ -56,12 +58,13 @@
         """Close the pools of addresses that no replica has any more."""
         for address in self._pools.keys() - addresses:
             self._pools.pop(address).close()
+            del self._replicas[address]
 
     def _build(self, replica: Replica) -> LinkPool:
         return LinkPool(
             (replica.host, replica.port),
             self._id_header,
-            lambda: self._part(replica),
+            lambda: self._part(self._replicas[replica.address]),
         )
 
     def _part(self, replica: Replica) -> int:
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -70,7 +70,7 @@
   Scenario: A fan-out that cannot have enough shards ends at once
     Given a fan-out to 10 shards of which 0.8 are enough, due after 0.1 seconds
     When 3 of them have no replica
-    Then it has failed, and nothing is left running
+    Then it has failed as not run, nothing was sent and nothing is left running
 
   Scenario: No more replicas than allowed run a shard
     Given a fan-out to 1 shards of which 1 are enough, due after 9 seconds
@@ -121,6 +121,12 @@
       | answers nothing    | 5       |
       | has lost the store | 0.4     |
 
+  Scenario: A replica that was known before its service was can be asked again
+    Given a router that knew 3 replicas before their service was configured
+    When one of them was asked and broke off
+    Then another one is picked, also by a query that began before
+    And as many connections are opened to it as are configured
+
   Scenario Outline: Of replicas that refuse part of their requests few are asked
     Given a router that knows 2 replicas alike
     When 14 requests a second come for 9 seconds and <refusing> refuse 0.6
--- a/tests/features/fleet_processes.feature
+++ b/tests/features/fleet_processes.feature
@@ -20,6 +20,12 @@
     When a fan-out is asked
     Then it is answered 502 within 0.3 seconds
 
+  Scenario: A fan-out whose shards are not registered is refused as not run
+    Given a fleet with 1 gateway
+    And no replica of s1 and s2 is registered
+    When a fan-out is asked
+    Then its answer says to come back after 0.5 seconds, and nothing ran
+
   Scenario: A shard that is silent does not hold the answer up
     Given a fleet with 1 gateway
     And every replica of s1 is "silent"
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -1,3 +1,4 @@
+import asyncio
 from collections import Counter
 from random import Random
 
@@ -22,6 +23,7 @@
 from crocusroad_core.routes import AdoptedTable
 from crocusroad_core.routing import Router
 from crocusroad_core.sources import Member, SourceRing
+from crocusroad_node.gateway._pools import Pools
 from crocusroad_platform._registrations import decode_registration
 from tests.properties import fleet
 
@@ -254,10 +256,12 @@
     context.commands = context.gather.begin(0.0)
 
 
-@then('it has failed, and nothing is left running')
+@then('it has failed as not run, nothing was sent and nothing is left running')
 def step_failed(context):
     finish = finish_of(context.commands)
     assert finish.outcome is Outcome.failed
+    assert not finish.may_have_run
+    assert context.commands == [finish]
     assert not context.gather.running
 
 
@@ -399,3 +403,44 @@
         for one in (first, second):
             context.router.on_reply(one, USUAL, 0.0, context.now + USUAL)
         context.now += 1
+
+
+@given(
+    'a router that knew {count:d} replicas before their service was configured'
+)
+def step_unconfigured(context, count):
+    context.router = Router('a', Random(1).random)
+    context.pools = Pools(b'x-request-id', 'a')
+    context.pools.on_instances(3, 1)
+    context.all = replicas(count)
+    context.before = tuple(one._replace(connections=1) for one in context.all)
+    context.router.on_front('s', context.before, 0)
+    context.first = context.router.pick('s', context.before, 0)
+    context.router.on_front('s', context.all, 1)
+
+
+@when('one of them was asked and broke off')
+def step_broke(context):
+    context.first = context.router.pick('s', context.all, 1)
+    context.router.on_sent(context.first, 1)
+    context.router.on_lost(context.first, FailureReason.broken, 0.01, 1.01)
+
+
+@then('another one is picked, also by a query that began before')
+def step_another(context):
+    for known in (context.all, context.before):
+        rest = tuple(one for one in known if one.name != context.first.name)
+        picked = context.router.pick('s', rest, 1.01)
+        assert picked in context.all
+        assert picked.name != context.first.name
+
+
+@then('as many connections are opened to it as are configured')
+def step_connections(context):
+    async def main():
+        pools = context.pools
+        for known in (context.before, context.all):
+            pool = pools.pool(known[0])
+        return pool.most
+
+    assert asyncio.run(main()) == context.all[0].connections // 4
--- a/tests/features/steps/fleet_processes.py
+++ b/tests/features/steps/fleet_processes.py
@@ -84,6 +84,24 @@
     replica.close()
 
 
+@given('no replica of {one} and {other} is registered')
+def step_unregistered(context, one, other):
+    for replica in context.fleet.replicas.values():
+        if replica.service in (one, other):
+            context.fleet.store.remove(f'servers/{replica.name}')
+    # What lapses is held for a while, in case the store was away.
+    run(context, asyncio.sleep(4))
+
+
+@then('its answer says to come back after {seconds:g} seconds, and nothing ran')
+def step_refused_unrun(context, seconds):
+    assert context.answer.status == 503, vars(context.answer)
+    assert float(context.answer.headers['retry-after']) == seconds
+    assert context.took < 0.1, context.took
+    replicas = context.fleet.replicas.values()
+    assert not any(one.runs for one in replicas)
+
+
 @given('every replica of {service} is "{mode}"')
 def step_modes(context, service, mode):
     for replica in context.fleet.replicas.values():
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -5,6 +5,8 @@
 from tests.soak.soak import Soak
 
 PLANTED_SECONDS = 10
+# Runs long enough that a stop nearly always meets requests on their way.
+RUN_SECONDS = 0.08
 
 
 @then(
@@ -19,5 +21,5 @@
 
 @then('a soak with {planted} planted and {fault} breaks a promise')
 def step_planted(context, planted, fault):
-    soak = Soak(1, 1, PLANTED_SECONDS, planted, [fault])
+    soak = Soak(1, 1, PLANTED_SECONDS, planted, [fault], RUN_SECONDS)
     assert asyncio.run(soak.run()).broken
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -158,7 +158,7 @@
     replica = draw.choice(soak.ready())
     replica.seconds = draw.uniform(0.05, 0.3)
     await asyncio.sleep(draw.uniform(0.3, 2))
-    replica.seconds = 0.005
+    replica.seconds = soak.run_seconds
 
 
 async def drain_replica(soak, draw):
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -59,8 +59,8 @@
 def repeats_everything():
     plan_for = _plans.plan_for
 
-    def plan(target, directory, times, margin):
-        made = plan_for(target, directory, times, margin)
+    def plan(*words):
+        made = plan_for(*words)
         return made._replace(is_repeatable=True)
 
     _gateway.plan_for = plan
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,16 +22,26 @@
 
 CALLERS = 3  # for each gateway
 PAUSE_SECONDS = 0.03  # between two requests of a caller
+RUN_SECONDS = 0.005  # of a replica, for one request
 RETURN_SECONDS = 12  # within which a gateway is ready again
 
 
 class Soak:
-    def __init__(self, seed, gateways, seconds, planted='', only=()):
+    def __init__(
+        self,
+        seed,
+        gateways,
+        seconds,
+        planted='',
+        only=(),
+        run_seconds=RUN_SECONDS,
+    ):
         # The series of faults alone is drawn from this one, so that a seed
         # repeats it however fast callers and faults go on.
         self.draw = Random(seed)
         self.callers_draw = Random(seed + 1)
         self.seconds = seconds
+        self.run_seconds = run_seconds
         self.folder = tempfile.TemporaryDirectory()
         # A net of its own for each seed: several may run at once.
         self.fleet = Fleet(self.folder.name, number=1 + seed % 200)
@@ -102,7 +112,7 @@
     async def recover(self):
         """All is well again: every gateway serves whole answers soon."""
         for replica in self.ready():
-            replica.mode, replica.seconds = 'ok', 0.005
+            replica.mode, replica.seconds = 'ok', self.run_seconds
         for name in self.names:
             try:
                 await self.fleet.until(
@@ -162,7 +172,11 @@
         await proxy.start()
         self.proxies[name] = proxy
         return await self.fleet.add_replica(
-            name, service, home=home, shown='{}:{}'.format(*front)
+            name,
+            service,
+            self.run_seconds,
+            home=home,
+            shown='{}:{}'.format(*front),
         )
 
     async def call(self, name):
