Split the gateway: replies and tasks in modules of their own

Change: what a caller is answered is built in _replies, what a request is to its query in _tasks; one copy of the timer's figures and of a member's host and port; the soak's planted variants follow the names. Behaviour stays.

--- a/packages/core/src/crocusroad_core/sources/_member.py
+++ b/packages/core/src/crocusroad_core/sources/_member.py
@@ -11,3 +11,9 @@
     address: str  # host:port where the others ask it
     link_mbps: float = 0  # of its own link; 0: not known
     cores: float = 0  # it computes as fast as so many cores; 0: not known
+
+    @property
+    def home(self) -> tuple[str, int]:
+        """Return host and port of the address."""
+        host, _, port = self.address.rpartition(':')
+        return host, int(port)
--- a/packages/node/src/crocusroad_node/gateway/_delegation.py
+++ b/packages/node/src/crocusroad_node/gateway/_delegation.py
@@ -24,19 +24,17 @@
     encode_confirmed,
     encode_delegated,
 )
+from crocusroad_node.gateway._query import LATE_TICK_SECONDS, READ_SECONDS
 from crocusroad_node.gateway._request import CallerRequest
 from crocusroad_node.logs import note
 
 _logger = logging.getLogger(__name__)
 
 # A coordinator says at once that it has the request. One that did not within
-# this time, in seconds, beyond the way, is dark or cut off: it is twice what
-# a busy one was seen to take.
+# this time, in seconds, beyond the way, is taken as dark or cut off: two
+# fan-outs of 135 shards ahead of it on a fast instance, and about half of the
+# shortest objective, so that there is time left to ask from here.
 ACK_SECONDS: Final = 0.04
-# A timer that is later than this was held up by the instance itself; what has
-# come meanwhile is read first.
-LATE_SECONDS: Final = 0.008
-READ_SECONDS: Final = 0.001
 MAX_LINKS: Final = 16  # to one coordinator; fan-outs wait for each other
 
 
@@ -136,9 +134,7 @@
     def _pool(self, member: Member) -> LinkPool:
         pool = self._pools.get(member.address)
         if pool is None:
-            host, _, port = member.address.rpartition(':')
-            home = (host, int(port))
-            pool = LinkPool(home, self._id_header, lambda: MAX_LINKS)
+            pool = LinkPool(member.home, self._id_header, lambda: MAX_LINKS)
             self._pools[member.address] = pool
         return pool
 
@@ -190,7 +186,8 @@
         if call is None or call.has_begun:
             return
         now = monotonic()
-        if now - due > LATE_SECONDS:
+        if now - due > LATE_TICK_SECONDS:
+            # This instance was held up; what has come is read first.
             again = now + READ_SECONDS
             self._timer = self._loop.call_at(again, self._look, again)
             return
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -1,17 +1,9 @@
 """The way of a caller's request through the gateway."""
 
 from collections.abc import Callable
-from functools import partial
-from http import HTTPStatus
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
-from crocusroad_core.gather import (
-    REASON_NO_REPLICA,
-    Finish,
-    Gather,
-    Outcome,
-    Punctuality,
-)
+from crocusroad_core.gather import Finish, Gather, Punctuality
 from crocusroad_core.repeats import RepeatBudgets
 from crocusroad_core.routes import Route, WeightedTurns
 from crocusroad_node.counters import OUTCOMES, REFUSALS, SECONDS
@@ -20,56 +12,34 @@
 from crocusroad_node.gateway._dialect import Dialect
 from crocusroad_node.gateway._directory import Directory
 from crocusroad_node.gateway._given import Given, Ways
-from crocusroad_node.gateway._heads import encoder
 from crocusroad_node.gateway._plans import (
     Allowance,
     Target,
     Times,
     deadline_of,
     plan_for,
-    split_records,
-    whole_response,
 )
 from crocusroad_node.gateway._policies import Policies
-from crocusroad_node.gateway._query import Query, Reach, Task
+from crocusroad_node.gateway._query import Query, Reach
+from crocusroad_node.gateway._replies import (
+    UNKNOWN_SECONDS,
+    internal_headers,
+    reply_to,
+)
 from crocusroad_node.gateway._reply import (
     Answer,
     Reply,
     nothing_to_stop,
-    pass_on,
     refuse,
 )
 from crocusroad_node.gateway._report import report
 from crocusroad_node.gateway._request import CallerRequest
-
-# Seconds after which a refused request may come again: replicas that were
-# full have room again after a few runs.
-BUSY_SECONDS: Final = 0.1
-# And where nothing is known yet of routes or replicas.
-UNKNOWN_SECONDS: Final = 0.5
-# A request that may run once only goes on a connection whose last answer is
-# this fresh, in seconds, or on a new one: one that the other end closes
-# meanwhile would leave open whether it ran.
-FRESH_SECONDS: Final = 1.0
-
-
-def _failed(outcome: Outcome) -> Reply:
-    REFUSALS.labels(outcome.value).inc()
-    if outcome is Outcome.expired:
-        return refuse(504, 'not answered in time')
-    return refuse(502, 'replicas failed')
-
+from crocusroad_node.gateway._tasks import task_for
 
 # Works on a request; returns what stops it.
 Work = Callable[[CallerRequest, Target, Answer], Callable[[], None]]
 
 
-def _pause_after(finish: Finish) -> float:
-    """Return when a request that did not run may come again."""
-    reasons = {one['reason'] for one in finish.coverage['missing']}
-    return UNKNOWN_SECONDS if REASON_NO_REPLICA in reasons else BUSY_SECONDS
-
-
 class Parts(NamedTuple):
     """What the gateway works with."""
 
@@ -91,8 +61,7 @@
         self._parts = parts
         self._clock = clock
         self._punctual: dict[bool, Punctuality] = {}  # by whether it fans out
-        names = parts.dialect.headers
-        self._internal = frozenset((names.load, names.expected_replica))
+        self._internal = internal_headers(parts.dialect.headers)
 
     def begin(self, req: CallerRequest, answer: Answer) -> Callable[[], None]:
         """Begin the work on a request; return what stops it."""
@@ -246,7 +215,7 @@
         )
         query = Query(
             Gather(plan, parts.policies.policy_for(route, plan.answer_by)),
-            self._task(req, route),
+            task_for(req, route, parts.dialect),
             parts.reach,
             lambda finish: self._finish(
                 req,
@@ -277,20 +246,6 @@
     def _punctuality(self, route: Route) -> Punctuality:
         return self._punctual.setdefault(route.is_fan_out, Punctuality())
 
-    def _task(self, req: CallerRequest, route: Route) -> Task:
-        dialect = self._parts.dialect
-        return Task(
-            route=route.name,
-            request_id=self._id(req),
-            encode=encoder(req, dialect.headers),
-            is_head=req.is_head,
-            freshness=None if route.is_repeatable else FRESH_SECONDS,
-            must_be_success=route.is_repeatable,
-            read=partial(split_records, size=dialect.record_bytes)
-            if route.is_fan_out
-            else whole_response,
-        )
-
     def _finish(
         self,
         req: CallerRequest,
@@ -304,7 +259,8 @@
         OUTCOMES.labels(finish.outcome.value).inc()
         kind = 'fan-out' if target.route.is_fan_out else 'one-replica'
         SECONDS.labels(kind).observe(self._clock() - req.received_at)
-        reply = self._reply(target, query, finish)
+        names = self._parts.dialect.headers
+        reply = reply_to(finish, query, target.route, names)
         answer(reply)
         late = self._clock() - due
         if late >= 0 and not query.has_waited:
@@ -323,32 +279,6 @@
             attempts=[one._asdict() for one in query.traces],
         )
 
-    def _reply(self, target: Target, query: Query, finish: Finish) -> Reply:
-        if finish.outcome is Outcome.answered:
-            if target.route.is_fan_out:
-                return self._merged(target, query, finish)
-            only = next(iter(query.answers.values()))
-            return pass_on(only, self._internal)
-        if not finish.may_have_run:
-            REFUSALS.labels('no-replica').inc()
-            pause = _pause_after(finish)
-            return refuse(503, 'no replica could run it', pause)
-        if query.failure is not None and not target.route.is_fan_out:
-            return pass_on(query.failure, self._internal)
-        return _failed(finish.outcome)
-
-    def _merged(self, target: Target, query: Query, finish: Finish) -> Reply:
-        names = self._parts.dialect.headers
-        signatures = [
-            one.header(names.signature) or b'' for one in query.answers.values()
-        ]
-        missing = len(target.shards) - len(signatures)
-        headers = (
-            (names.shard_signatures, b', '.join(signatures)),
-            (names.missing_shards, b'%d' % missing),
-        )
-        return Reply(HTTPStatus.OK, headers, b''.join(finish.records))
-
     def _left(self, req: CallerRequest, target: Target, sent: int) -> None:
         self.in_flight -= 1
         report(
--- a/packages/node/src/crocusroad_node/gateway/_sourced.py
+++ b/packages/node/src/crocusroad_node/gateway/_sourced.py
@@ -144,7 +144,6 @@
     def _link(self, source: Member) -> StoreHttp:
         link = self._links.get(source.address)
         if link is None:
-            host, _, port = source.address.rpartition(':')
-            link = StoreHttp((host, int(port)))
+            link = StoreHttp(source.home)
             self._links[source.address] = link
         return link
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -10,7 +10,14 @@
 from crocusroad_core.routes import AdoptedTable
 from crocusroad_node import gateway_root
 from crocusroad_node.exchanges import _link, _reading
-from crocusroad_node.gateway import _gateway, _judge, _plans, _query
+from crocusroad_node.gateway import (
+    _gateway,
+    _judge,
+    _plans,
+    _query,
+    _replies,
+    _tasks,
+)
 from crocusroad_platform.main import main
 
 
@@ -79,18 +86,18 @@
 
 
 def overstates_coverage():
-    def merged(self, target, query, finish):
-        reply = honest(self, target, query, finish)
+    def merged(finish, query, names):
+        reply = honest(finish, query, names)
         headers = (reply.headers[0], (reply.headers[1][0], b'0'))
         return reply._replace(headers=headers)
 
-    honest = _gateway.Gateway._merged
-    _gateway.Gateway._merged = merged
+    honest = _replies._merged
+    _replies._merged = merged
 
 
 def trusts_addresses():
     """A link that is not proved: whoever has the address is taken."""
-    encoder = _gateway.encoder
+    encoder = _tasks.encoder
 
     def unproved(req, names):
         encode = encoder(req, names)
@@ -105,7 +112,7 @@
 
         return strip
 
-    _gateway.encoder = unproved
+    _tasks.encoder = unproved
     _query.judge = lambda response, names, must_be_success: None
     assert _judge
 
