Do not count a process's own stall as a replica that opens slowly

The bound of 0.5 s on an open ran out while the process was not scheduled.

Four scenarios, red without it (an answer after 0.4 s, a bound of 0.3 s, a stall of 0.5 s).

--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -77,6 +77,18 @@
       | 3     | 4    |
       | 8     | 1    |
 
+  Scenario Outline: A process that is held up does not call an open slow
+    Given something that answers after <answer> seconds
+    When it is awaited for 0.3 seconds by a process that is held up for <held>
+    Then it <ends>
+
+    Examples:
+      | answer | held | ends      |
+      | 0.1    | 0    | answers   |
+      | 0.4    | 0    | times out |
+      | 0.4    | 0.5  | answers   |
+      | 2      | 0.5  | times out |
+
   Scenario: Connections that went silent are replaced within seconds
     Given a replica on a loopback address
     And 3 instances are listed
--- a/tests/features/steps/fleet_coordinators.py
+++ b/tests/features/steps/fleet_coordinators.py
@@ -14,10 +14,8 @@
 )
 from crocusroad_node.gateway._request import CallerRequest
 from tests.features.steps.fleet_processes import is_whole, run, start_fleet
-from tests.support.fleet import RELAY, SHARDS, exchange
+from tests.support.fleet import FAST, RELAY, SHARDS, SLOW, exchange
 
-SLOW = {'LinkMbps': 1, 'CpuShare': 0.05, 'Cores': 1}
-FAST = {'LinkMbps': 1000, 'CpuShare': 1, 'Cores': 2}
 WINDOW = 10.0
 GIVEN = ((b'Host', b'h'), (b'X-Request-Id', b'ab'))
 
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -13,6 +13,7 @@
 from crocusroad_core.gather import FailureReason
 from crocusroad_core.links import InstanceView
 from crocusroad_node.counters import LATE, LINKS
+from crocusroad_node.fair_timeout import fair_timeout
 from crocusroad_node.upstreams import UpstreamClient
 from crocusroad_node.upstreams._link import Link
 from tests.support.scripted_server import ScriptedServer
@@ -311,3 +312,39 @@
 
     outcomes = run(context, main())
     assert outcomes == ['answered'] * count, outcomes
+
+
+@given('something that answers after {seconds:g} seconds')
+def step_something(context, seconds):
+    context.after = seconds
+
+
+@when(
+    'it is awaited for {seconds:g} seconds by a process that is held up for'
+    ' {held:g}'
+)
+def step_awaited(context, seconds, held):
+    async def main():
+        began = time.monotonic()
+        asyncio.get_running_loop().call_later(0.01, time.sleep, held)
+        try:
+            async with fair_timeout(seconds):
+                await asyncio.sleep(context.after)
+        except TimeoutError:
+            context.ends = 'times out'
+        else:
+            context.ends = 'answers'
+        context.took = time.monotonic() - began
+
+    asyncio.run(main())
+
+
+@then('it answers')
+def step_answers(context):
+    assert context.ends == 'answers'
+
+
+@then('it times out')
+def step_times_out(context):
+    assert context.ends == 'times out'
+    assert context.took < 1.5, context.took
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,9 +11,11 @@
 from tests.soak.promises import Promises
 from tests.soak.proxy import Proxy
 from tests.support.fleet import (
+    FAST,
     FRONT,
     REPLICA_PORT,
     SHARDS,
+    SLOW,
     Answer,
     Fleet,
     exchange,
@@ -51,6 +53,9 @@
                 sys.executable, '-m', 'tests.soak.planted', planted
             ]  # fmt: skip
         self.names = [f'g{number}' for number in range(gateways)]
+        if seed % 2:
+            powers = itertools.cycle((SLOW, FAST))
+            self.fleet.limits = dict(zip(self.names, powers, strict=False))
         self.promises = Promises(self.fleet)
         self.faults = [one for one in FAULTS if one.__name__ in only]
         if not only:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -17,6 +17,9 @@
 STORE_PORT, REPLICA_PORT = 18102, 18640
 GRACE = 6
 MOST = 200  # gateways
+# Machines of which the fast ones coordinate the fan-outs of the slow ones.
+SLOW = {'LinkMbps': 1, 'CpuShare': 0.05, 'Cores': 1}
+FAST = {'LinkMbps': 1000, 'CpuShare': 1, 'Cores': 2}
 SHARDS = ('s0', 's1', 's2', 's3')
 
 
