Open the connection before a sub-request is given up in the test

Cause: in the whole run beside load 15 to 19 "A late answer is counted and reaches nobody" failed once; traced at load 12: the outcome was no-connection. The 50 ms after which the sub-request is given up included opening and proving the connection, which passed 50 ms there; the request was never sent, so that no-connection is true and no late answer can come. The case that the scenario means is one on its way.

Change: the connection is opened by a request before, as in the scenario of a cancelled one. Assertions and bounds stay as they are.

--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -173,6 +173,8 @@
 @when('a sub-request is given up after {seconds:g} seconds')
 def step_give_up(context, seconds):
     async def main():
+        # Else the time may pass while the connection is opened.
+        await ask_first(context)
         context.outcome = await ask(context, seconds)
         await asyncio.sleep(0.3)
 
