Run gateways at the size of a site on real processes, and judge LOST and BUDGET

Nothing of ours played a site at its size on real processes, with kept and new connections, restarts in series and replicas in trouble, judged as the users do.

--- /dev/null
+++ b/tests/site/__main__.py
@@ -0,0 +1,69 @@
+"""Command line of the runs of a site.
+
+Run: python -m tests.site SITE [--seeds FIRST:LAST] [--seconds S] [--load X]
+         [--trouble NAME ...] [--stop NAME ...] [--checkout DIR] [--logs DIR]
+Exits with status 1 if a rule was broken. The same seed injects the same series
+of troubles. `--checkout` names another checkout whose gateways are run.
+"""
+
+import argparse
+import shutil
+import sys
+from pathlib import Path
+
+import uvloop
+
+from tests.site import troubles
+from tests.site.deployment import DEPLOYMENTS
+from tests.site.play import Play, summary
+from tests.support.fleet import ROOT
+
+SHOWN_FINDINGS = 12
+NAMED = {
+    function.__name__: function
+    for function in (*troubles.TROUBLES, *troubles.STOPS, troubles.kill_all)
+}
+
+
+def run_seed(seed, args):
+    """Run a seed, print its result and return whether no rule was broken."""
+    site = DEPLOYMENTS[args.site]
+    play = Play(
+        site, seed, args.seconds, load=args.load, checkout=args.checkout
+    )
+    if args.trouble is not None:
+        play.troubles = tuple(NAMED[name] for name in args.trouble)
+    if args.stop is not None:
+        play.stops = tuple(NAMED[name] for name in args.stop)
+    judge = uvloop.run(play.run())
+    findings = judge.findings()
+    print(f'seed {seed}: {len(findings)} findings', flush=True)
+    for line in summary(play, judge):
+        print(f'  {line}')
+    for finding in findings[:SHOWN_FINDINGS]:
+        print(f'  {finding.rule}: {finding.text}', flush=True)
+    if args.logs:
+        shutil.copytree(play.folder, Path(args.logs) / f'{args.site}-{seed}')
+    play.close()
+    return not findings
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument('site', choices=sorted(DEPLOYMENTS))
+    parser.add_argument('--seeds', default='1:1')
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--load', type=float, default=1)
+    parser.add_argument('--trouble', nargs='*', choices=sorted(NAMED))
+    parser.add_argument('--stop', nargs='*', choices=sorted(NAMED))
+    parser.add_argument('--checkout', default=ROOT)
+    parser.add_argument('--logs')
+    args = parser.parse_args()
+    first, last = (int(seed) for seed in args.seeds.split(':'))
+    kept = [run_seed(seed, args) for seed in range(first, last + 1)]
+    print(f'{sum(kept)} of {len(kept)} seeds broke no rule')
+    return 0 if all(kept) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/site/play.py
@@ -0,0 +1,108 @@
+"""One run of a site: its fleet, its callers and a seeded series of troubles."""
+
+import asyncio
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+from tests.site.callers import Callers
+from tests.site.fleet import SiteFleet
+from tests.site.judge import Judge
+from tests.site.troubles import STOPS, TROUBLES
+from tests.support.fleet import ROOT
+
+WARM_UP_SECONDS = 4
+
+
+class Play:
+    """A run of a site; the same seed injects the same series of troubles.
+
+    `troubles` and `stops` name the functions to draw from; `checkout` holds
+    the gateways' program.
+    """
+
+    def __init__(self, site, seed, seconds, *, load=1.0, checkout=ROOT):
+        self.rng = Random(seed)
+        self.seconds = seconds
+        self.troubles = TROUBLES
+        self.stops = STOPS
+        self.restarting = set()
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        number = 1 + seed % 200
+        self.fleet = SiteFleet(site, self.folder, number, checkout)
+        self.callers = Callers(self.fleet, seed + 1, load)
+        self.seed = seed
+
+    async def run(self):
+        """Run the site and return its judge."""
+        await self.fleet.start()
+        sending = None
+        try:
+            await self.fleet.populate(self.seed)
+            await self.fleet.spawn_ready(*self.fleet.names)
+            sending = asyncio.create_task(self.callers.run())
+            await asyncio.sleep(WARM_UP_SECONDS)
+            await self._inject()
+            await asyncio.sleep(WARM_UP_SECONDS)
+            sending.cancel()
+            await self.callers.finish()
+        finally:
+            if sending is not None:
+                sending.cancel()
+            await self.fleet.close()
+        return Judge(self.fleet, self.callers)
+
+    async def _inject(self):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds
+        tasks = []
+        for series, pauses in ((self.troubles, (0.5, 4)), (self.stops, (1, 6))):
+            if series:
+                rng = Random(self.rng.random())
+                coro = self._inject_series(series, pauses, rng, end)
+                tasks.append(asyncio.create_task(coro))
+        await asyncio.gather(*tasks, asyncio.sleep(self.seconds))
+
+    async def _inject_series(self, series, pauses, rng, end):
+        loop = asyncio.get_running_loop()
+        running = []
+        while loop.time() < end:
+            trouble = rng.choice(series)
+            trouble_rng = Random(rng.random())
+            running.append(asyncio.create_task(trouble(self, trouble_rng)))
+            await asyncio.sleep(rng.uniform(*pauses))
+        await asyncio.gather(*running)
+
+    def close(self):
+        """Remove the logs of the gateways."""
+        self._folder.cleanup()
+
+
+def summary(play, judge):
+    """Return the counts of a run, in lines."""
+    tried = play.callers.tried
+    ends = Counter((t.kind.name, t.end, t.status) for t in tried)
+    windows = [
+        (shard, judge.worst_window(shard))
+        for shard in (*play.fleet.shards, 'single')
+    ]
+    service, worst = max(
+        windows, key=lambda pair: pair[1].extra / pair[1].allowed
+    )
+    lines = [
+        f'{len(tried)} tries, {len(play.fleet.stops)} stops',
+        f'worst window: {service}, {worst.extra} repeats of '
+        f'{worst.allowed:.1f}',
+    ]
+    lines.append(f'{len(judge.attempts_over())} ran on too many replicas')
+    lines += [
+        f'  closed, {", ".join(key)}: {count}'
+        for key, count in sorted(judge.closed_counts().items())
+    ]
+    lines += [
+        f'  {name} {end} {status}: {count}'
+        for (name, end, status), count in sorted(ends.items())
+    ]
+    return lines
--- /dev/null
+++ b/tests/site/replica.py
@@ -0,0 +1,218 @@
+"""A replica with slots, a queue, pauses and a limit on its connections."""
+
+import asyncio
+import socket
+import struct
+import time
+from contextlib import suppress
+from random import Random
+from typing import NamedTuple
+
+from tests.standins.fleet_replica import records
+from tests.standins.http import read_request, render_response
+
+PAUSE_SECONDS = 0.2
+PAUSE_EVERY_SECONDS = 4.5
+MAX_QUEUED = 12
+POLL_SECONDS = 0.01
+
+
+class Arrival:
+    """A request that reached a replica, and what became of it."""
+
+    __slots__ = ('at', 'began_at', 'deadline_ms', 'end', 'ended_at', 'id', 'of')
+
+    def __init__(self, replica, req):
+        self.of = replica
+        self.id = req.headers.get('x-request-id', '')
+        self.at = time.monotonic()
+        self.deadline_ms = int(req.headers.get('x-request-deadline', 0))
+        self.began_at = 0
+        self.ended_at = 0
+        # 'answered', 'rejected', 'left' (by the caller), 'lost' (the answer)
+        # or 'ended' (the replica)
+        self.end = ''
+
+    def finish(self, end):
+        self.end = end
+        self.ended_at = time.monotonic()
+
+
+class Work(NamedTuple):
+    """How long requests of a path prefix run."""
+
+    prefix: str
+    seconds: float
+
+
+class SiteReplica:
+    """A replica of a site.
+
+    `mode` is ok, dark (reads and answers nothing), shed (refuses), lose (runs
+    the request and resets the connection), grey (answers 500), hang (reads and
+    never answers) or down (accepts no connection). In the modes but ok, dark
+    and down `share` of the requests are affected. `slowness` multiplies the
+    run time.
+    """
+
+    def __init__(self, name, service, endpoint, works, limits, seed):
+        self.name = name
+        self.service = service
+        self.endpoint = endpoint
+        self.advertised_address = '{}:{}'.format(*endpoint)
+        self.slots, self.max_connections = limits
+        self.mode = 'ok'
+        self.share = 1
+        self.slowness = 1
+        self.arrivals = []
+        self.reset_connections = 0
+        self._works = works
+        self._rng = Random(seed)
+        self._running = asyncio.Semaphore(self.slots)
+        self._running_count = self._waiting_count = 0
+        self._writers = set()
+        self._light = asyncio.Event()
+        self._light.set()
+        self._pause_offset = self._rng.uniform(0, PAUSE_EVERY_SECONDS)
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, *self.endpoint)
+
+    def set_mode(self, mode, share=1.0):
+        self.mode, self.share = mode, share
+        (self._light.clear if mode == 'dark' else self._light.set)()
+        if mode == 'down':
+            self._reset_all()
+
+    def close(self):
+        self._server.close()
+        self._reset_all()
+
+    def _reset_all(self):
+        for writer in tuple(self._writers):
+            reset(writer)
+
+    async def _serve(self, reader, writer):
+        if len(self._writers) >= self.max_connections or self.mode == 'down':
+            self.reset_connections += 1
+            reset(writer)
+            return
+        self._writers.add(writer)
+        try:
+            while True:
+                req = await read_request(reader)
+                await self._light.wait()
+                if req is None or not await self._answer(req, reader, writer):
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            pass
+        except asyncio.CancelledError:
+            return
+        finally:
+            self._writers.discard(writer)
+            with suppress(RuntimeError):
+                writer.close()
+
+    async def _answer(self, req, reader, writer):
+        if req.headers.get('x-expect-instance', self.name) != self.name:
+            writer.write(
+                render_response(421, b'', {'X-Instance-Id': self.name})
+            )
+            return True
+        arrival = Arrival(self, req)
+        self.arrivals.append(arrival)
+        is_hit = self._rng.random() < self.share
+        if (self.mode == 'shed' and is_hit) or self._waiting_count > MAX_QUEUED:
+            return self._reject(arrival, writer)
+        deadline = arrival.at + arrival.deadline_ms / 1000
+        self._waiting_count += 1
+        try:
+            if not await self._wait_for_slot(reader, deadline, arrival):
+                return False
+        finally:
+            self._waiting_count -= 1
+        try:
+            self._running_count += 1
+            if time.monotonic() > deadline:
+                return self._reject(arrival, writer)
+            return await self._run(req, reader, writer, arrival, is_hit)
+        finally:
+            self._running_count -= 1
+            self._running.release()
+
+    async def _wait_for_slot(self, reader, deadline, arrival):
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(POLL_SECONDS):
+                    await self._running.acquire()
+                    return True
+            if reader.at_eof() or reader.exception():
+                arrival.finish('left')
+                return False
+
+    def _reject(self, arrival, writer):
+        arrival.finish('rejected')
+        headers = {'X-Request-Id': arrival.id, 'X-Not-Executed': '1'}
+        writer.write(render_response(503, b'', headers | self._load()))
+        return True
+
+    def _load(self):
+        load = f'{self._running_count},{self._waiting_count},{self.slots}'
+        return {'X-Server-Load': load}
+
+    def _run_seconds(self, path):
+        mean = next(
+            work.seconds for work in self._works if path.startswith(work.prefix)
+        )
+        return mean * self.slowness * self._rng.uniform(0.6, 1.5)
+
+    def _pause_left(self):
+        since = (time.monotonic() + self._pause_offset) % PAUSE_EVERY_SECONDS
+        return max(0, PAUSE_SECONDS - since)
+
+    async def _run(self, req, reader, writer, arrival, is_hit):
+        arrival.began_at = time.monotonic()
+        until = arrival.began_at + self._run_seconds(req.path)
+        until += self._pause_left()
+        limit = arrival.at + arrival.deadline_ms / 1000
+        is_hung = self.mode == 'hang' and is_hit
+        while is_hung or time.monotonic() < min(until, limit):
+            left = max(0.001, until - time.monotonic())
+            await asyncio.sleep(min(POLL_SECONDS, left))
+            if reader.at_eof() or reader.exception():
+                arrival.finish('left')
+                return False
+            is_hung = is_hung and self.mode == 'hang'
+        if self.mode == 'down':
+            arrival.finish('ended')
+            return False
+        if self.mode == 'lose' and is_hit:
+            arrival.finish('lost')
+            reset(writer)
+            return False
+        status = 504 if time.monotonic() >= limit else 200
+        if self.mode == 'grey' and is_hit:
+            status = 500
+        self._reply(arrival, status, writer)
+        return True
+
+    def _reply(self, arrival, status, writer):
+        headers = {
+            'X-Request-Id': arrival.id,
+            'X-Response-Stamp': f'{self.name}.{arrival.id}.{status}',
+            'Keep-Alive': 'timeout=15',
+        }
+        body = b''.join(records(self.service, 8)) + b'rest'
+        writer.write(render_response(status, body, headers | self._load()))
+        arrival.finish('answered')
+
+
+def reset(writer):
+    """Reset a connection."""
+    sock = writer.get_extra_info('socket')
+    with suppress(OSError, AttributeError):
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
