Let numbered test runs go on side by side

Change: CROCUSROAD_TEST_RUN gives a run its own addresses and its own lock. A run without it is as before; what is tested is the same.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,6 +1,7 @@
 """Command that runs behave and reports failures not listed in KNOWN-RED.txt.
 
 Run: python -m tests.run [FEATURE ...]
+Runs wait for each other, unless CROCUSROAD_TEST_RUN numbers them differently.
 """
 
 import fcntl
@@ -13,7 +14,11 @@
 ROOT = Path(__file__).parent.parent
 RESULTS_VARIABLE = 'CROCUSROAD_TEST_RESULTS'
 # The processes under test listen on fixed loopback ports.
-LOCK_FILE = Path(tempfile.gettempdir()) / f'crocusroad-tests-{os.getuid()}.lock'
+RUN_NUMBER = os.environ.get('CROCUSROAD_TEST_RUN', '0')
+LOCK_FILE = (
+    Path(tempfile.gettempdir())
+    / f'crocusroad-tests-{os.getuid()}-{RUN_NUMBER}.lock'
+)
 
 
 def load_known_failures():
--- a/tests/site/fleet.py
+++ b/tests/site/fleet.py
@@ -82,7 +82,7 @@
             replica = SiteReplica(
                 name,
                 service,
-                (f'{self.network}.1.{number}', REPLICA_PORT),
+                (self.address(1, number), REPLICA_PORT),
                 works,
                 limits,
                 seed * 1000 + number,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -211,9 +211,8 @@
     async def add_replica(self, service):
         """Start a replica at a new address."""
         number = next(self.replica_numbers)
-        network = self.fleet.network
-        endpoint = (f'{network}.1.{number}', REPLICA_PORT)
-        proxy_endpoint = (f'{network}.4.{number}', REPLICA_PORT)
+        endpoint = (self.fleet.address(1, number), REPLICA_PORT)
+        proxy_endpoint = (self.fleet.address(4, number), REPLICA_PORT)
         return await self.start_replica(
             service, endpoint, proxy_endpoint, number
         )
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -16,6 +16,9 @@
 FRONT_PORT, READY_PORT, RELAY_PORT, METRICS_PORT = 18104, 18108, 17380, 9464
 STORE_PORT, REPLICA_PORT = 18102, 18640
 GRACE_SECONDS = 6
+# Test runs with different numbers use different addresses.
+RUN_NUMBER = int(os.environ.get('CROCUSROAD_TEST_RUN', 0))
+ADDRESS_GROUPS = 10  # of one run
 MAX_GATEWAYS = 200
 # Limits of machines: fast ones coordinate the fan-outs of slow ones.
 SLOW_MACHINE = {'LinkMbps': 1, 'CpuShare': 0.05, 'Cores': 1}
@@ -65,7 +68,7 @@
 
     def __init__(self, folder, number=0):
         self.folder = Path(folder)
-        self.network = f'127.{20 + number}'
+        self.number = number
         self.store = FleetStore()
         self.replicas = {}
         self.procs = {}
@@ -95,7 +98,7 @@
     async def add_replica(
         self, name, service, seconds=0.005, endpoint=None, advertised_address=''
     ):
-        host = f'{self.network}.1.{len(self.replicas) + 1}'
+        host = self.address(1, len(self.replicas) + 1)
         host, port = endpoint or (host, REPLICA_PORT)
         replica = FleetReplica(name, service, host, port, seconds)
         replica.advertised_address = advertised_address or replica.address
@@ -138,11 +141,16 @@
         }
         self.store.put('op/config', json.dumps(config))
 
+    def address(self, group, number):
+        """Return a loopback address; each kind of process has a group."""
+        group += ADDRESS_GROUPS * RUN_NUMBER
+        return f'127.{20 + self.number}.{group}.{number}'
+
     def host(self, name):
-        return f'{self.network}.2.{int(name[1:]) + 1}'
+        return self.address(2, int(name[1:]) + 1)
 
     def store_host(self, name):
-        return f'{self.network}.3.{int(name[1:]) + 1}'
+        return self.address(3, int(name[1:]) + 1)
 
     def settings(self, name):
         host = self.host(name)
