Count repeats by service, role and charge

A service that got more repeats than its budget allows could not be traced: there was no counter of what the budget granted and refused, of the tokens left, or of repeats that cost no token, and the attempts that were counted include those that never reached a replica.

`crocusroad_repeats` counts each sub-request as it is written to a connection after another one of the same request and service, so that its sum is what replicas get beyond the first. `crocusroad_repeat_decisions` counts what the budget was asked for, `crocusroad_retry_tokens` tells its state.

--- a/packages/core/src/crocusroad_core/gather/_hedge.py
+++ b/packages/core/src/crocusroad_core/gather/_hedge.py
@@ -42,7 +42,7 @@
     )
     if replica is None:
         return []
-    if query.policy.spend(shard_state.shard, now):
+    if query.spend(shard_state.shard, AttemptRole.hedge, now):
         return [query.send(shard_state, replica, now, AttemptRole.hedge)]
     shard_state.backoff_count += 1
     backoff = HEDGE_BACKOFF_SECONDS * 2 ** (shard_state.backoff_count - 1)
--- a/packages/core/src/crocusroad_core/gather/_policy.py
+++ b/packages/core/src/crocusroad_core/gather/_policy.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from crocusroad_core.fronts import Replica
+from crocusroad_core.gather._attempt import AttemptRole
 
 # Picks a replica: (shard, candidates, now). Returns None if none is suitable.
 PickReplica = Callable[[str, tuple[Replica, ...], float], Replica | None]
@@ -16,6 +17,9 @@
 # Tells whether an attempt may be sent that neither costs nor earns budget:
 # (whether an earlier attempt may have run, now).
 AllowReplacement = Callable[[bool, float], bool]
+# Records whether the budget of a shard allowed an extra attempt:
+# (shard, role, whether it did).
+RecordSpend = Callable[[str, AttemptRole, bool], None]
 
 
 class Policy(NamedTuple):
@@ -25,3 +29,4 @@
     hedge_delay: HedgeDelay
     spend: SpendBudget
     allow_replacement: AllowReplacement
+    record_spend: RecordSpend | None = None
--- a/packages/core/src/crocusroad_core/gather/_query_state.py
+++ b/packages/core/src/crocusroad_core/gather/_query_state.py
@@ -98,7 +98,9 @@
             replica = self.pick_replica(shard_state, shard_state.replicas, now)
             if replica is None:
                 self.give_up(shard_state, REASON_NO_REPLICA)
-            elif self.plan.is_retry and not self.policy.spend(shard, now):
+            elif self.plan.is_retry and not self.spend(
+                shard, self._first_role, now
+            ):
                 self.give_up(shard_state, REASON_NO_RETRY_LEFT)
             else:
                 if self._first_role is AttemptRole.restart:
@@ -109,6 +111,14 @@
                 )
         return commands
 
+    def spend(self, shard: str, role: AttemptRole, now: float) -> bool:
+        """Take an attempt from the budget of a shard, if one is left."""
+        policy = self.policy
+        is_allowed = policy.spend(shard, now)
+        if policy.record_spend is not None:
+            policy.record_spend(shard, role, is_allowed)
+        return is_allowed
+
     def discard_unsent(self) -> None:
         """Discard the first attempts, which have not been sent yet."""
         self.running.clear()
--- a/packages/core/src/crocusroad_core/gather/_retry.py
+++ b/packages/core/src/crocusroad_core/gather/_retry.py
@@ -88,14 +88,15 @@
         policy.allow_replacement(False, now)
         return AttemptRole.replacement
     may_have_run = shard_state.may_have_run
-    if may_have_run and policy.spend(shard_state.shard, now):
+    shard = shard_state.shard
+    if may_have_run and query.spend(shard, AttemptRole.retry, now):
         return AttemptRole.retry
     if _may_send_replacement(shard_state) and policy.allow_replacement(
         may_have_run, now
     ):
         shard_state.has_sent_replacement = True
         return AttemptRole.replacement
-    if not may_have_run and policy.spend(shard_state.shard, now):
+    if not may_have_run and query.spend(shard, AttemptRole.retry, now):
         return AttemptRole.retry
     return None
 
--- a/packages/core/src/crocusroad_core/retry_budget/_budget.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budget.py
@@ -86,6 +86,10 @@
         self._accounts[service] = _Account(available - 1, now, now)
         return True
 
+    def available(self, service: str, now: float) -> float:
+        """Return how many tokens are left."""
+        return self._available(service, now)
+
     def is_scarce(self, service: str, now: float) -> bool:
         """Tell whether a retry would leave few or no tokens for the next."""
         return self._available(service, now) < max(
--- a/packages/core/src/crocusroad_core/retry_budget/_budgets.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budgets.py
@@ -40,6 +40,10 @@
         """Spend one token; return False if none is available."""
         return self._budget(service).spend(service, now)
 
+    def available(self, service: str, now: float) -> float:
+        """Return how many tokens are left."""
+        return self._budget(service).available(service, now)
+
     def is_scarce(self, service: str, now: float) -> bool:
         """Tell whether a retry would leave few or no tokens for the next."""
         return self._budget(service).is_scarce(service, now)
--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -82,6 +82,21 @@
     'crocusroad_requests_in_flight',
     'Requests of callers in progress.',
 )
+REPEATS = Counter(
+    'crocusroad_repeats',
+    'Sub-requests sent to a service after another one of the same request.',
+    ['service', 'role', 'charge'],
+)
+REPEAT_DECISIONS = Counter(
+    'crocusroad_repeat_decisions',
+    'Repeats that the budget of a service was asked for.',
+    ['service', 'role', 'decision'],
+)
+RETRY_TOKENS = Gauge(
+    'crocusroad_retry_tokens',
+    "Tokens left in this instance's share of a service's retry budget.",
+    ['service'],
+)
 POISON_EVENTS = Counter(
     'crocusroad_poison',
     'What was done against requests that crash upstreams.',
@@ -148,11 +163,14 @@
     'QUERY_OUTCOMES',
     'REFUSALS',
     'REGISTRY',
+    'REPEATS',
+    'REPEAT_DECISIONS',
     'REQUESTS',
     'REQUESTS_ADMITTED',
     'REQUESTS_IN_FLIGHT',
     'REQUESTS_LIMIT',
     'REQUEST_SECONDS',
+    'RETRY_TOKENS',
     'STORE_REGRESSIONS',
 ]
 STORE_CALLS = Counter(
--- a/packages/node/src/crocusroad_node/gateway/_components.py
+++ b/packages/node/src/crocusroad_node/gateway/_components.py
@@ -44,6 +44,7 @@
     warmer: ConnectionWarmer
     on_members: Callable[[list[FleetMember]], None]
     set_retry_bounds: Callable[[RetryBounds], None]
+    publish_tokens: Callable[[], None]  # of the retry budgets, as metrics
     # Answers or refuses every request until the given time.
     stop_by: Callable[[float], None]
 
@@ -124,6 +125,7 @@
         ConnectionWarmer(own.name, own.zone, directory, pools.pool, is_used),
         on_members,
         budgets.set_bounds,
+        lambda: policies.publish_tokens(monotonic()),
         stop_by,
     )
 
--- a/packages/node/src/crocusroad_node/gateway/_endpoints.py
+++ b/packages/node/src/crocusroad_node/gateway/_endpoints.py
@@ -39,11 +39,15 @@
     return handle
 
 
-def metrics_handler() -> RequestHandler:
-    """Return the handler of the Prometheus metrics endpoint."""
+def metrics_handler(refresh: Callable[[], None]) -> RequestHandler:
+    """Return the handler of the Prometheus metrics endpoint.
+
+    `refresh` sets the gauges that are not kept up to date.
+    """
 
     def handle(req: CallerRequest, send_reply: SendReply) -> Callable[[], None]:
         if req.path == METRICS_PATH:
+            refresh()
             content_type = (b'Content-Type', b'text/plain; version=0.0.4')
             send_reply(Reply(HTTPStatus.OK, (content_type,), generate_latest()))
         else:
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -349,6 +349,8 @@
                 plan,
             ),
         )
+        if limits.is_retry:
+            query.assume_sent(target.shards)
         return query
 
     def _start_query(
--- a/packages/node/src/crocusroad_node/gateway/_policies.py
+++ b/packages/node/src/crocusroad_node/gateway/_policies.py
@@ -3,10 +3,11 @@
 from collections import defaultdict
 
 from crocusroad_core.fronts import Replica
-from crocusroad_core.gather import Policy
+from crocusroad_core.gather import AttemptRole, Policy
 from crocusroad_core.retry_budget import RetryBudgets
 from crocusroad_core.routes import Route
 from crocusroad_core.routing import HedgeTiming, LatencyHistogram, Router
+from crocusroad_node.counters import REPEAT_DECISIONS, RETRY_TOKENS
 from crocusroad_node.gateway._directory import Directory
 
 
@@ -45,6 +46,7 @@
         self._latencies: defaultdict[str, LatencyHistogram] = defaultdict(
             LatencyHistogram
         )
+        self._asked_services: set[str] = set()
         self._timings: defaultdict[str, HedgeTiming] = defaultdict(HedgeTiming)
 
     def policy_for(self, route: Route, answer_by: float) -> Policy:
@@ -65,8 +67,15 @@
             hedge_delay=hedge_delay,
             spend=self._budget.spend,
             allow_replacement=lambda may_have_run, now: False,
+            record_spend=self._record_spend,
         )
 
+    def publish_tokens(self, now: float) -> None:
+        """Set the gauges of the budgets that were asked for repeats."""
+        for service in self._asked_services:
+            tokens = self._budget.available(service, now)
+            RETRY_TOKENS.labels(service).set(tokens)
+
     def record_latency(self, route: str, seconds: float) -> None:
         """Record the latency of an answer."""
         self._latencies[route].record(seconds)
@@ -84,3 +93,10 @@
             timing.record_latency(seconds)
         else:
             timing.record_abandoned(seconds)
+
+    def _record_spend(
+        self, service: str, role: AttemptRole, is_allowed: bool
+    ) -> None:
+        self._asked_services.add(service)
+        decision = 'granted' if is_allowed else 'refused'
+        REPEAT_DECISIONS.labels(service, role.value, decision).inc()
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -1,7 +1,7 @@
 """Execution of a gather: its commands become calls to replicas."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from time import monotonic
 from typing import NamedTuple, Protocol
 
@@ -21,7 +21,7 @@
 )
 from crocusroad_core.queueing import QueueEstimate, WaitingRequest
 from crocusroad_core.routing import Router
-from crocusroad_node.counters import ATTEMPTS, ATTEMPTS_LOST
+from crocusroad_node.counters import ATTEMPTS, ATTEMPTS_LOST, REPEATS
 from crocusroad_node.exchanges import (
     Call,
     CallResult,
@@ -118,6 +118,7 @@
         self.sent = 0  # attempts, without those that got no connection
         # Of the replica with the shortest queue, by shard that is overloaded.
         self._queues: dict[str, QueueEstimate] = {}
+        self._sent_shards: set[str] = set()  # with an attempt that was sent
         self._gather = build_gather(self._is_sent)
         self._spec = spec
         self._access = access
@@ -137,6 +138,20 @@
         """Return the wait at the most overloaded shard; None: none was."""
         return max(self._queues.values(), default=None)
 
+    @property
+    def request_id(self) -> bytes:
+        """Return the ID of the caller's request."""
+        return self._spec.request_id
+
+    @property
+    def is_at_replicas(self) -> bool:
+        """Tell whether replicas have attempts that are not answered."""
+        return any(call.is_sent for _, call in self._calls.values())
+
+    def assume_sent(self, shards: Iterable[str]) -> None:
+        """Count all attempts as repeats: a coordinator may have sent some."""
+        self._sent_shards.update(shards)
+
     def start(self) -> None:
         """Send the first attempts."""
         self._execute(self._gather.begin(monotonic()))
@@ -183,6 +198,7 @@
         self._guard.on_sent(attempt.serial, replica)
 
         def encode_request(now: float) -> bytes:
+            self._count_repeat(attempt)
             return self._spec.encode(replica, deadline, now)
 
         request = Request(
@@ -201,6 +217,14 @@
         )
         self._calls[attempt.serial] = (attempt, call)
 
+    def _count_repeat(self, attempt: Attempt) -> None:
+        shard, role = attempt.shard, attempt.role
+        if shard in self._sent_shards:
+            is_free = role in _UNCHARGED_ROLES
+            charge = 'uncharged' if is_free else 'charged'
+            REPEATS.labels(shard, role.value, charge).inc()
+        self._sent_shards.add(shard)
+
     def _is_sent(self, serial: int) -> bool:
         _, call = self._calls.get(serial, (None, None))
         return call is None or call.is_sent
@@ -347,4 +371,6 @@
 
 
 _ATTEMPTS_BY_ROLE = {role: ATTEMPTS.labels(role.value) for role in AttemptRole}
+# A first attempt that a hedge overtook is a repeat that the hedge has paid.
+_UNCHARGED_ROLES = frozenset((AttemptRole.replacement, AttemptRole.restart))
 _REPLICA_ERRORS = frozenset((FailureReason.failed, FailureReason.cancelled))
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -134,7 +134,7 @@
         (
             (cfg.callers_listen, callers_context, start_hold.handle),
             (cfg.relay_listen, peers_context, handle_peer_request),
-            (cfg.metrics_listen, local_context, metrics_handler()),
+            (cfg.metrics_listen, local_context, metrics_handler(components.publish_tokens)),
             (
                 cfg.ready_listen,
                 local_context,
