Log what a stop waits for, and tell why each connection was closed

A request that lost its connection left no line while it was read or waited behind another one, and `caller left` whoever had closed. `stop` told only a number: not which requests were left, what was closed, or how late it was.

Each connection now has one reason and the state in which it was closed, as a metric and in the line of a request that ends unanswered. A connection that is closed by this instance although bytes had arrived is counted. `drain` and `stop` tell requests and connections by state and the plan of the stop, and `repeats` and `exit` what is lost with the process.

--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -97,6 +97,16 @@
     "Tokens left in this instance's share of a service's retry budget.",
     ['service'],
 )
+CONNECTIONS_CLOSED = Counter(
+    'crocusroad_connections_closed',
+    'Connections of callers and instances that were closed, by reason.',
+    ['listener', 'reason', 'state'],
+)
+CONNECTIONS_CLOSED_UNREAD = Counter(
+    'crocusroad_connections_closed_unread',
+    'Connections closed by this instance although bytes had arrived.',
+    ['listener', 'reason'],
+)
 POISON_EVENTS = Counter(
     'crocusroad_poison',
     'What was done against requests that crash upstreams.',
@@ -154,6 +164,8 @@
     'CLAIM_RECORDS',
     'CONFIG_CHANGES',
     'CONFIG_WRITES',
+    'CONNECTIONS_CLOSED',
+    'CONNECTIONS_CLOSED_UNREAD',
     'CONNECTION_EVENTS',
     'EXTRA_REFUSED',
     'FRONT_REVISION',
--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 from time import monotonic
-from typing import Final, Protocol, cast
+from typing import Final, NamedTuple, Protocol, cast
 
 import httptools
 
@@ -22,6 +23,7 @@
 )
 from crocusroad_node.gateway._request import CallerRequest
 from crocusroad_node.gateway._round_trip import measure_round_trip
+from crocusroad_node.gateway._unread_bytes import count_unread_bytes
 
 MAX_PIPELINED: Final = 4  # requests on one connection
 MAX_BYTES_PER_BODY_BYTE: Final = 8  # a chunk of one byte takes six bytes
@@ -36,6 +38,36 @@
 ]
 
 
+class CloseReason(StrEnum):
+    """Why a connection was closed."""
+
+    caller_closed = 'caller closed'
+    caller_reset = 'caller reset'
+    idle = 'idle'  # for as long as the configuration allows
+    drained = 'drained'  # the instance stops, and no reply has announced it
+    last_reply = 'last reply'  # announced by the reply
+    read_timeout = 'read timeout'
+    rejected = 'rejected'  # what was read is no valid request
+
+
+class ConnectionState(StrEnum):
+    """What a connection is doing."""
+
+    new = 'new'  # nothing has been received
+    reading = 'reading'
+    busy = 'busy'  # a request is in progress
+    idle = 'idle'
+    closing = 'closing'  # the last reply is being written
+
+
+class ConnectionEnd(NamedTuple):
+    """How a connection was closed."""
+
+    reason: CloseReason
+    state: ConnectionState  # in which it was closed
+    unread_bytes: int = 0  # that had arrived when this instance closed
+
+
 class ConnectionContext(Protocol):
     """The state and settings that connections share."""
 
@@ -54,6 +86,11 @@
     def handle_notification(self, req: CallerRequest) -> bool:
         """Handle a request that gets no reply; return whether it was one."""
 
+    def on_close(
+        self, end: ConnectionEnd, dropped: tuple[CallerRequest, ...]
+    ) -> None:
+        """Record a closed connection and its requests that had not begun."""
+
 
 class CallerConnection(asyncio.Protocol):
     """Reads requests from one connection and answers them in order."""
@@ -73,6 +110,7 @@
         self._is_new = True  # no request has been received yet
         self._is_busy = False
         self._is_closing = False  # no more reads or replies
+        self._end: ConnectionEnd | None = None
         self._has_read_error = False  # close after the pending replies
         self._start_message()
 
@@ -81,6 +119,24 @@
         """Tell whether a request is being read or processed."""
         return self._is_busy or self._received_bytes > 0
 
+    @property
+    def state(self) -> ConnectionState:
+        """Return what the connection is doing."""
+        if self._is_closing:
+            return ConnectionState.closing
+        if self._is_busy:
+            return ConnectionState.busy
+        if self._has_partial_request:
+            return ConnectionState.reading
+        return ConnectionState.new if self._is_new else ConnectionState.idle
+
+    @property
+    def unwritten_bytes(self) -> int:
+        """Return how many bytes of replies the transport still holds."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timer."""
         self._transport = cast(asyncio.Transport, transport)
@@ -93,6 +149,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the work on the current request and drop the pipelined ones."""
         self._context.connections.discard(self)
+        reason = CloseReason.caller_reset if exc else CloseReason.caller_closed
+        if self._end is None:
+            self._end = ConnectionEnd(reason, self.state)
+        dropped = [req for req, _ in self._pipelined]
+        if self._has_partial_request:
+            dropped.append(self._partial_request())
+        self._context.on_close(self._end, tuple(dropped))
         self._is_closing = True
         self._stop_timer()
         self._pipelined.clear()
@@ -179,6 +242,7 @@
             b''.join(self._body),
             monotonic(),
             travel_seconds(self._round_trip, is_new_connection=self._is_new),
+            self._close_reason,
         )
         self._is_new = False
         self._start_message()
@@ -190,6 +254,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is read or processed."""
         if not self.is_busy and self._transport is not None:
+            self._record_end(CloseReason.drained)
             self._transport.close()
 
     @property
@@ -197,6 +262,17 @@
         """Return the most bytes that chunks of the body received may take."""
         return self._body_size * MAX_BYTES_PER_BODY_BYTE
 
+    @property
+    def _has_partial_request(self) -> bool:
+        # The target may have come together with the previous request.
+        return self._received_bytes > 0 or bool(self._target)
+
+    def _partial_request(self) -> CallerRequest:
+        """Return what has been read of a request."""
+        return CallerRequest(
+            b'', self._target, tuple(self._headers), b'', monotonic()
+        )
+
     def _start_message(self) -> None:
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
@@ -246,14 +322,19 @@
         )
         self._write(encoded)
         if is_closing:
-            self._close()
+            self._close(CloseReason.last_reply)
             return
         if self._pipelined:
             self._loop.call_soon(self._start_next)
         else:
             self._start_idle_timer()
 
-    def _reject(self, status: int, message: str) -> None:
+    def _reject(
+        self,
+        status: int,
+        message: str,
+        reason: CloseReason = CloseReason.rejected,
+    ) -> None:
         if self._is_busy or self._pipelined:
             # Pending replies are sent first, in order. Nothing more is read.
             self._has_read_error = True
@@ -262,20 +343,38 @@
             return
         reply = error_reply(status, message)
         self._write(encode_reply(reply, is_closing=True, is_head=False))
-        self._close()
+        self._close(reason)
 
     def _on_read_timeout(self) -> None:
-        self._reject(408, 'the request was not received in time')
+        self._reject(
+            408,
+            'the request was not received in time',
+            CloseReason.read_timeout,
+        )
 
     def _start_idle_timer(self) -> None:
-        self._set_timer(self._context.limits.idle_seconds, self._close)
+        self._set_timer(self._context.limits.idle_seconds, self._close_idle)
 
-    def _close(self) -> None:
+    def _close_idle(self) -> None:
+        self._close(CloseReason.idle)
+
+    def _close(self, reason: CloseReason) -> None:
+        self._record_end(reason)
         self._is_closing = True
         self._stop_timer()
         if self._transport is not None:
             self._transport.close()
 
+    def _record_end(self, reason: CloseReason) -> None:
+        """Record that this instance closes the connection, unless it did."""
+        if self._end is None and self._transport is not None:
+            sock = self._transport.get_extra_info('socket')
+            unread_bytes = self._received_bytes + count_unread_bytes(sock)
+            self._end = ConnectionEnd(reason, self.state, unread_bytes)
+
+    def _close_reason(self) -> str:
+        return '' if self._end is None else self._end.reason.value
+
     def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -1,6 +1,7 @@
 """The request handler of a gateway: routing, delegation and answering."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from math import inf
 from typing import NamedTuple
@@ -46,6 +47,8 @@
 from crocusroad_node.gateway._request_log import log_request
 from crocusroad_wire import ProblemKind
 
+IdsByState = dict[str, list[str]]
+
 # Starts the work on a routed request. Returns a function that stops it.
 StartWork = Callable[[CallerRequest, Target, SendReply], Callable[[], None]]
 
@@ -73,7 +76,8 @@
         clock: Callable[[], float],
     ) -> None:
         self._queries: set[Query] = set()  # that are not finished
-        self._delegated: set[DelegatedRequest] = set()
+        # Their request IDs.
+        self._delegated: dict[DelegatedRequest, bytes] = {}
         self._answers_until = inf
         self._dependencies = dependencies
         self._clock = clock
@@ -89,6 +93,21 @@
         """Return how many requests are not answered."""
         return len(self._queries) + len(self._delegated)
 
+    def unanswered(self, held: list[CallerRequest]) -> IdsByState:
+        """Return the IDs of the requests that are not answered, by state.
+
+        `held` are requests that have not been given to the gateway yet.
+        """
+        ids: defaultdict[str, list[str]] = defaultdict(list)
+        for query in self._queries:
+            state = 'sent' if query.is_at_replicas else 'waiting'
+            ids[state].append(query.request_id.decode('latin-1'))
+        for request_id in self._delegated.values():
+            ids['delegated'].append(request_id.decode('latin-1'))
+        for req in held:
+            ids['held'].append(self._request_id(req).decode('latin-1'))
+        return ids
+
     def stop_by(self, until: float) -> None:
         """Answer all requests until then, those that come later too.
 
@@ -243,16 +262,16 @@
                 req,
                 target,
                 send_reply,
-                lambda: self._delegated.discard(delegated),
+                lambda: self._delegated.pop(delegated, None),
             ),
             self._internal,
         )
-        self._delegated.add(delegated)
+        self._delegated[delegated] = fan_out.request_id
         delegated.stop_delegation = self._dependencies.delegator.delegate(
             fan_out, delegated
         )
         if delegated.stop_delegation is None:
-            self._delegated.discard(delegated)
+            self._delegated.pop(delegated, None)
             return self._query_replicas(req, target, send_reply)
         return delegated.stop
 
@@ -261,7 +280,7 @@
         req: CallerRequest,
         target: Target,
         send_reply: SendReply,
-        on_end: Callable[[], None],
+        on_end: Callable[[], object],
     ) -> RequestCallbacks:
         def query_locally(is_retry: bool) -> Callable[[], None]:
             on_end()
@@ -454,6 +473,7 @@
             route=target.route.name,
             version=target.table.version,
             outcome='caller left',
+            closed=req.close_reason(),
             sent=sent,
             took_ms=round((self._clock() - req.received_at) * 1000, 1),
         )
--- a/packages/node/src/crocusroad_node/gateway/_request.py
+++ b/packages/node/src/crocusroad_node/gateway/_request.py
@@ -1,5 +1,6 @@
 """Requests of callers, and the headers that are forwarded."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 # Hop-by-hop headers, and headers that the gateway itself generates.
@@ -31,6 +32,8 @@
     body: bytes
     received_at: float  # seconds, monotonic clock, of the last byte
     travel_seconds: float = 0  # that the caller waits outside this instance
+    # Tells why its connection was closed, once it is.
+    close_reason: Callable[[], str] = str
 
     @property
     def asked_at(self) -> float:
--- a/packages/node/src/crocusroad_node/gateway/_start_hold.py
+++ b/packages/node/src/crocusroad_node/gateway/_start_hold.py
@@ -21,13 +21,13 @@
     """A request that waits, and then the work on it."""
 
     def __init__(self, req: CallerRequest, send_reply: SendReply) -> None:
-        self._req = req
+        self.req = req
         self._send_reply = send_reply
         self._stop_work: Callable[[], None] = noop_stop
         self.is_stopped = False
 
     def start(self, handle: RequestHandler) -> None:
-        self._stop_work = handle(self._req, self._send_reply)
+        self._stop_work = handle(self.req, self._send_reply)
 
     def stop(self) -> None:
         self.is_stopped = True
@@ -45,7 +45,12 @@
     @property
     def count(self) -> int:
         """Return how many requests are held."""
-        return sum(not held.is_stopped for held in self._held)
+        return len(self.requests)
+
+    @property
+    def requests(self) -> list[CallerRequest]:
+        """Return the requests that are held."""
+        return [held.req for held in self._held if not held.is_stopped]
 
     def handle(
         self, req: CallerRequest, send_reply: SendReply
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -42,7 +42,9 @@
 from crocusroad_node.gateway._relay_server import RelayServer
 from crocusroad_node.gateway._relayed_store import RelayedStore
 from crocusroad_node.gateway._reload import SettingsReloader
+from crocusroad_node.gateway._request_log import dropped_request_logger
 from crocusroad_node.gateway._start_hold import MAX_HOLD_SECONDS, StartHold
+from crocusroad_node.gateway._stop_log import StopLog
 from crocusroad_node.logs import log_event
 from crocusroad_node.node_lifecycle import NodeLifecycle
 from crocusroad_node.supervision import Job, supervise
@@ -102,7 +104,12 @@
     directory = components.directory
     store = RelayedStore(adapters.kv, selector, get_client, crashes.receive)
     relay_server = RelayServer(crashes.recent)
-    callers_context = ListenerContext(directory, lifecycle)
+    callers_context = ListenerContext(
+        'callers',
+        directory,
+        lifecycle,
+        log_dropped=dropped_request_logger(protocol.headers.request_id),
+    )
 
     def on_members(members: list[FleetMember]) -> None:
         store.on_members(members)
@@ -116,8 +123,9 @@
         lambda changed: components.set_retry_bounds(changed.repeats),
     )
     _handle_signals(lifecycle, reloader)
-    local_context = ListenerContext(directory, lifecycle)
+    local_context = ListenerContext('local', directory, lifecycle)
     peers_context = ListenerContext(
+        'instances',
         directory,
         lifecycle,
         DELEGATED_HEADER,
@@ -134,7 +142,11 @@
         (
             (cfg.callers_listen, callers_context, start_hold.handle),
             (cfg.relay_listen, peers_context, handle_peer_request),
-            (cfg.metrics_listen, local_context, metrics_handler(components.publish_tokens)),
+            (
+                cfg.metrics_listen,
+                local_context,
+                metrics_handler(components.publish_tokens),
+            ),
             (
                 cfg.ready_listen,
                 local_context,
@@ -165,13 +177,15 @@
     )
     await lifecycle.draining.wait()
     deregistration = asyncio.create_task(membership.deregister())
-    await _drain(components, callers_context, start_hold, reloader.cfg.grace)
+    stop_log = await _drain(
+        components, callers_context, start_hold, reloader.cfg.grace
+    )
     for task in (*tasks, deregistration):
         task.cancel()
     for server in servers:
         server.close()
     lifecycle.finish()
-    log_event(_logger, 'stop', unanswered=components.gateway.in_flight)
+    stop_log.end(monotonic())
 
 
 async def _drain(
@@ -179,14 +193,22 @@
     context: ListenerContext,
     start_hold: StartHold,
     grace: float,
-) -> None:
-    times = plan_drain(monotonic(), grace)
-    components.stop_by(times.answers_until)
-    await drain_connections(
+) -> StopLog:
+    gateway = components.gateway
+    now = monotonic()
+    times = plan_drain(now, grace)
+    stop_log = StopLog(
         context,
-        lambda: components.gateway.in_flight + start_hold.count,
+        lambda: gateway.unanswered(start_hold.requests),
         times,
+        now,
+    )
+    stop_log.begin()
+    components.stop_by(times.answers_until)
+    await drain_connections(
+        context, lambda: gateway.in_flight + start_hold.count, times
     )
+    return stop_log
 
 
 def _own_member(cfg: GatewaySettings) -> FleetMember:
--- a/packages/platform/src/crocusroad_platform/main.py
+++ b/packages/platform/src/crocusroad_platform/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 import sys
 
 import uvloop
@@ -13,7 +14,7 @@
     PlatformAdapters,
     run_gateway,
 )
-from crocusroad_node.logs import configure_logs
+from crocusroad_node.logs import configure_logs, log_event
 from crocusroad_node.nonblocking_handler import NonBlockingHandler
 from crocusroad_platform._metadata_store import MetadataStore
 from crocusroad_platform._node_settings import (
@@ -24,6 +25,8 @@
 )
 from crocusroad_platform._protocol import PLATFORM_PROTOCOL
 
+_logger = logging.getLogger(__name__)
+
 EXIT_BAD_SETTINGS = 78  # EX_CONFIG of sysexits.h
 METRICS_PORT = (
     9464  # as in deploy/system.toml; the usual port of a metrics page
@@ -44,6 +47,7 @@
     configure_logs('json', 'info', cfg.instance, log_handler)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_run(cfg))
+    log_event(_logger, 'exit')
 
 
 async def _run(cfg: NodeSettings) -> None:
--- a/tests/features/steps/late_timers.py
+++ b/tests/features/steps/late_timers.py
@@ -25,6 +25,7 @@
         connections=set(),
         acknowledged_header=b'',
         handle_notification=lambda req: False,
+        on_close=lambda end, dropped: None,
     )
 
 
