--- a/tests/site/fleet.py
+++ b/tests/site/fleet.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import time
+from datetime import datetime
 from pathlib import Path
 from typing import NamedTuple
 
@@ -41,7 +42,8 @@
         self.names = [f'g{number}' for number in range(len(site.zones))]
         self.shards = [f's{number}' for number in range(site.shard_count)]
         self.stops = []  # planned ones
-        self.late_exits = []  # processes that had to be killed
+        self.late_exits = []  # stops whose process had to be killed
+        self.late_steps = {}  # what its log and the kernel told, by its process
         # Times of kills, freezes and trouble of the store.
         self.disruptions = []
 
@@ -155,6 +157,7 @@
         """Stop a gateway as the platform does; return when it has ended."""
         proc = self.procs[name]
         stop = Stop(name, proc, time.monotonic())
+        sent_at = time.time()
         self.stops.append(stop)
         proc.send_signal(signal.SIGTERM)
         try:
@@ -163,8 +166,26 @@
             )
         except AssertionError:
             self.late_exits.append(stop)
+            self.late_steps[proc] = self._stop_steps(name, sent_at)
+            if proc.poll() is not None:
+                self.late_steps[proc] += ', had ended when looked at again'
             proc.kill()
             proc.wait()
 
+    def _stop_steps(self, name, sent_at):
+        """Return the seconds from SIGTERM to the events of the stop."""
+        seconds = [
+            (line['event'], datetime.fromisoformat(line['time']).timestamp())
+            for line in self.lines(name)
+            if line['event'] in ('drain', 'stop', 'exit')
+        ]
+        steps = [
+            f'{event} +{at - sent_at:.3f}'
+            for event, at in seconds
+            if at > sent_at
+        ]
+        steps.append(f'now +{time.time() - sent_at:.3f}')
+        return ', '.join(steps)
+
     def services_of(self, kind):
         return self.shards if kind.is_fan_out else ['single']
--- a/tests/site/judge.py
+++ b/tests/site/judge.py
@@ -49,7 +49,11 @@
 
     def late_exits(self):
         return [
-            Finding('LOST', f'{stop.name} had to be killed after its grace')
+            Finding(
+                'LOST',
+                f'{stop.name} had to be killed after its grace: '
+                f'{self._fleet.late_steps[stop.proc]}',
+            )
             for stop in self._fleet.late_exits
         ]
 
@@ -146,6 +150,13 @@
                 worst = Window(end, extra, allowed)
         return worst
 
+    def repeat_counts(self):
+        """Return the arrivals beyond the first, by service."""
+        return {
+            service: len(self._extras(service))
+            for service in (*self._fleet.shards, 'single')
+        }
+
     def _extras(self, service):
         """Return the times of the arrivals beyond the first, in order."""
         by_id = defaultdict(list)
--- a/tests/site/play.py
+++ b/tests/site/play.py
@@ -9,6 +9,7 @@
 from tests.site.callers import Callers
 from tests.site.fleet import SiteFleet
 from tests.site.judge import Judge
+from tests.site.repeats import counted_repeats, describe
 from tests.site.troubles import STOPS, TROUBLES
 from tests.support.fleet import ROOT
 
@@ -28,6 +29,7 @@
         self.troubles = TROUBLES
         self.stops = STOPS
         self.restarting = set()
+        self.counted_repeats = {}
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         number = 1 + seed % 200
@@ -48,6 +50,7 @@
             await asyncio.sleep(WARM_UP_SECONDS)
             sending.cancel()
             await self.callers.finish()
+            self.counted_repeats = await counted_repeats(self.fleet)
         finally:
             if sending is not None:
                 sending.cancel()
@@ -96,6 +99,8 @@
         f'worst window: {service}, {worst.extra} repeats of '
         f'{worst.allowed:.1f}',
     ]
+    arrived = sum(judge.repeat_counts().values())
+    lines += [f'{arrived} repeats arrived', describe(play.counted_repeats)]
     lines.append(f'{len(judge.attempts_over())} ran on too many replicas')
     lines += [
         f'  closed, {", ".join(key)}: {count}'
