--- a/packages/node/src/crocusroad_node/counters.py
+++ b/packages/node/src/crocusroad_node/counters.py
@@ -82,6 +82,31 @@
     'crocusroad_requests_in_flight',
     'Requests of callers in progress.',
 )
+REPEATS = Counter(
+    'crocusroad_repeats',
+    'Sub-requests sent to a service after another one of the same request.',
+    ['service', 'role', 'charge'],
+)
+REPEAT_DECISIONS = Counter(
+    'crocusroad_repeat_decisions',
+    'Repeats that the budget of a service was asked for.',
+    ['service', 'role', 'decision'],
+)
+RETRY_TOKENS = Gauge(
+    'crocusroad_retry_tokens',
+    "Tokens left in this instance's share of a service's retry budget.",
+    ['service'],
+)
+CONNECTIONS_CLOSED = Counter(
+    'crocusroad_connections_closed',
+    'Connections of callers and instances that were closed, by reason.',
+    ['listener', 'reason', 'state'],
+)
+CONNECTIONS_CLOSED_UNREAD = Counter(
+    'crocusroad_connections_closed_unread',
+    'Connections closed by this instance although bytes had arrived.',
+    ['listener', 'reason'],
+)
 POISON_EVENTS = Counter(
     'crocusroad_poison',
     'What was done against requests that crash upstreams.',
@@ -139,6 +164,8 @@
     'CLAIM_RECORDS',
     'CONFIG_CHANGES',
     'CONFIG_WRITES',
+    'CONNECTIONS_CLOSED',
+    'CONNECTIONS_CLOSED_UNREAD',
     'CONNECTION_EVENTS',
     'EXTRA_REFUSED',
     'FRONT_REVISION',
@@ -148,11 +175,14 @@
     'QUERY_OUTCOMES',
     'REFUSALS',
     'REGISTRY',
+    'REPEATS',
+    'REPEAT_DECISIONS',
     'REQUESTS',
     'REQUESTS_ADMITTED',
     'REQUESTS_IN_FLIGHT',
     'REQUESTS_LIMIT',
     'REQUEST_SECONDS',
+    'RETRY_TOKENS',
     'STORE_REGRESSIONS',
 ]
 STORE_CALLS = Counter(
