Count a retry until it is known to have arrived, and a window longer

Callers saw nothing; a service got more repeats in a window than its budget.

Cause: the budget was spent when a repeat was sent. Replicas that answer nothing for some seconds get all that was sent to them meanwhile at once, and the repeats of the next window come on top: they and the attempts that they repeat, of which the later one counts.

A retry now counts from its sending until a window after all attempts at its shard have ended, and for two windows after one that was given up without an answer, which its replica may still read. An instance sends no further one while those reach its share of the slack plus the ratio of its requests in the last window.

--- a/packages/core/src/crocusroad_core/retry_budget/_budget.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budget.py
@@ -2,6 +2,9 @@
 
 from typing import Final, NamedTuple
 
+from crocusroad_core.retry_budget._recent_charges import RecentCharges
+from crocusroad_core.retry_budget._recent_count import RecentCount
+
 # Ratio of the bounds that instances use. The rest covers restarts: an instance
 # starts with a quarter of its slack, so the whole fleet may restart once in a
 # window.
@@ -17,6 +20,9 @@
 # With fewer tokens than this, none is spent on attempts that are only likely
 # to be needed.
 MIN_SPECULATIVE_TOKENS: Final = 2.0
+# Windows in which a retry counts whose arrival is not known: the one before it
+# may still arrive and the one after that.
+UNKNOWN_ARRIVAL_WINDOWS: Final = 2
 # The slack is divided among at least this many instances, also before they
 # have been counted.
 MIN_INSTANCES: Final = 8
@@ -33,10 +39,15 @@
     window_seconds: float
 
 
-class _Account(NamedTuple):
-    tokens: float
-    counted_at: float  # seconds; when `tokens` was computed
-    spent_at: float  # seconds; when a token was last spent
+class _Account:
+    __slots__ = ('charges', 'counted_at', 'requests', 'spent_at', 'tokens')
+
+    def __init__(self, tokens: float, now: float, spent_at: float) -> None:
+        self.tokens = tokens
+        self.counted_at = now  # seconds; when `tokens` was computed
+        self.spent_at = spent_at  # seconds; when a token was last spent
+        self.requests = RecentCount()
+        self.charges = RecentCharges()
 
 
 class RetryBudget:
@@ -45,7 +56,8 @@
     Each request for a service earns a fraction of a token, and further tokens
     are refilled over time. The capacity plus the refill of one window is this
     instance's share of the slack. Over any window the retries are therefore
-    at most that share plus `ratio` times the requests in the window.
+    at most that share plus `ratio` times the requests in the window. The same
+    holds for their arrivals: retries that may yet arrive count as well.
 
     If no token was spent for a whole window, the bucket is full again.
     Otherwise a small share would never add up to one retry.
@@ -73,19 +85,34 @@
 
     def earn(self, service: str, now: float) -> None:
         """Count a request for a service."""
-        tokens = self._available(service, now) + self._tokens_per_request
-        spent_at = self._spent_at(service)
-        account = _Account(min(tokens, self._capacity), now, spent_at)
-        self._accounts[service] = account
+        account = self._update(service, now)
+        account.tokens = min(
+            account.tokens + self._tokens_per_request, self._capacity
+        )
+        account.requests.add(now, self._bounds.window_seconds)
 
     def spend(self, service: str, now: float) -> bool:
-        """Spend one token; return False if none is available."""
-        available = self._available(service, now)
-        if available < 1:
+        """Spend one token; return False if none is available.
+
+        Every token that is spent has to be settled once.
+        """
+        if self._available(service, now) < 1:
             return False
-        self._accounts[service] = _Account(available - 1, now, now)
+        account = self._update(service, now)
+        account.tokens -= 1
+        account.spent_at = now
+        account.charges.add()
         return True
 
+    def settle(self, service: str, now: float, *, has_arrived: bool) -> None:
+        """Record the end of a retry that a token was spent on.
+
+        Without `has_arrived`, the retry may reach its replica later.
+        """
+        windows = 1 if has_arrived else UNKNOWN_ARRIVAL_WINDOWS
+        until = now + windows * self._bounds.window_seconds
+        self._update(service, now).charges.settle(until)
+
     def is_scarce(self, service: str, now: float) -> bool:
         """Tell whether a retry would leave few or no tokens for the next."""
         return self._available(service, now) < max(
@@ -96,6 +123,7 @@
         """Compute this instance's share of the bounds."""
         bounds = self._bounds
         slack = bounds.slack * USED_RATIO / self._effective_instances
+        self._slack = slack
         self._initial_tokens = slack * INITIAL_RATIO
         self._capacity = min(
             slack, max(slack * CAPACITY_RATIO, MIN_CAPACITY_TOKENS)
@@ -105,21 +133,39 @@
         ) / bounds.window_seconds
         self._tokens_per_request = bounds.ratio * USED_RATIO
 
+    def _update(self, service: str, now: float) -> _Account:
+        """Return the account of a service with the tokens of now."""
+        account = self._accounts.get(service)
+        if account is None:
+            account = _Account(self._refilled(None, now), now, self._started_at)
+            self._accounts[service] = account
+            return account
+        account.tokens = self._refilled(account, now)
+        account.counted_at = max(account.counted_at, now)
+        return account
+
     def _available(self, service: str, now: float) -> float:
-        if now - self._spent_at(service) > self._bounds.window_seconds:
-            return self._capacity
         account = self._accounts.get(service)
+        tokens = self._refilled(account, now)
         if account is None:
-            return self._initial_tokens
-        elapsed = now - account.counted_at
-        if elapsed <= 0:
-            return account.tokens
-        return min(
-            self._capacity, account.tokens + self._tokens_per_second * elapsed
-        )
+            return tokens
+        return min(tokens, self._headroom(account, now))
 
-    def _spent_at(self, service: str) -> float:
+    def _headroom(self, account: _Account, now: float) -> float:
+        """Return how many more retries may arrive in a window of now."""
+        requests = account.requests.total(now, self._bounds.window_seconds)
+        allowed = self._slack + self._tokens_per_request * requests
+        return allowed - account.charges.total(now)
+
+    def _refilled(self, account: _Account | None, now: float) -> float:
         # Without an account, the start time is used: the previous process of
         # this instance may have spent all tokens just before.
-        account = self._accounts.get(service)
-        return self._started_at if account is None else account.spent_at
+        spent_at = self._started_at if account is None else account.spent_at
+        if now - spent_at > self._bounds.window_seconds:
+            return self._capacity
+        if account is None:
+            tokens, counted_at = self._initial_tokens, now
+        else:
+            tokens, counted_at = account.tokens, account.counted_at
+        elapsed = max(0, now - counted_at)
+        return min(self._capacity, tokens + self._tokens_per_second * elapsed)
--- a/packages/core/src/crocusroad_core/retry_budget/_budgets.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budgets.py
@@ -34,17 +34,18 @@
 
     def earn(self, service: str, now: float) -> None:
         """Count a request for a service."""
-        self._budget(service).earn(service, now)
+        self.budget(service).earn(service, now)
 
     def spend(self, service: str, now: float) -> bool:
         """Spend one token; return False if none is available."""
-        return self._budget(service).spend(service, now)
+        return self.budget(service).spend(service, now)
 
     def is_scarce(self, service: str, now: float) -> bool:
         """Tell whether a retry would leave few or no tokens for the next."""
-        return self._budget(service).is_scarce(service, now)
+        return self.budget(service).is_scarce(service, now)
 
-    def _budget(self, service: str) -> RetryBudget:
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
         return (
             self._shard_budget
             if self._is_shard(service)
--- a/packages/node/src/crocusroad_node/gateway/_gateway.py
+++ b/packages/node/src/crocusroad_node/gateway/_gateway.py
@@ -8,7 +8,7 @@
 from crocusroad_core.gather import Finish, Gather, LatenessEstimator, Plan
 from crocusroad_core.queueing import QueueEstimate, ReturnSchedule
 from crocusroad_core.refusals import Refusal, refuse
-from crocusroad_core.retry_budget import RetryBudgets
+from crocusroad_core.retry_budget import OpenRetries, RetryBudgets
 from crocusroad_core.routes import Route, WeightedRoundRobin
 from crocusroad_node.counters import QUERY_OUTCOMES, REFUSALS, REQUEST_SECONDS
 from crocusroad_node.gateway._crash_guard import CrashGuard
@@ -331,8 +331,9 @@
             req, self._request_id(req), is_fan_out=route.is_fan_out
         )
         plan = plan._replace(needs_canary=guard.needs_canary)
+        retries = OpenRetries(dependencies.retry_budgets)
         policy = follow_changes(
-            dependencies.policies.policy_for(route, plan.answer_by),
+            dependencies.policies.policy_for(route, plan.answer_by, retries),
             dependencies.directory,
         )
         query = Query(
@@ -340,6 +341,7 @@
             build_query_spec(req, route, plan, dependencies.protocol),
             dependencies.replica_access,
             guard,
+            retries,
             lambda finish: self._on_finish(
                 req,
                 target,
--- a/packages/node/src/crocusroad_node/gateway/_policies.py
+++ b/packages/node/src/crocusroad_node/gateway/_policies.py
@@ -4,7 +4,7 @@
 
 from crocusroad_core.fronts import Replica
 from crocusroad_core.gather import Policy
-from crocusroad_core.retry_budget import RetryBudgets
+from crocusroad_core.retry_budget import OpenRetries, RetryBudgets
 from crocusroad_core.routes import Route
 from crocusroad_core.routing import HedgeTiming, LatencyHistogram, Router
 from crocusroad_node.gateway._directory import Directory
@@ -47,7 +47,9 @@
         )
         self._timings: defaultdict[str, HedgeTiming] = defaultdict(HedgeTiming)
 
-    def policy_for(self, route: Route, answer_by: float) -> Policy:
+    def policy_for(
+        self, route: Route, answer_by: float, retries: OpenRetries
+    ) -> Policy:
         """Return the policy for a query that is due at `answer_by`."""
         latency = self._latencies[route.name]
         timing = self._timings[route.name]
@@ -63,7 +65,7 @@
         return Policy(
             pick=self._router.pick,
             hedge_delay=hedge_delay,
-            spend=self._budget.spend,
+            spend=retries.spend,
             allow_replacement=lambda may_have_run, now: False,
         )
 
--- a/packages/node/src/crocusroad_node/gateway/_query.py
+++ b/packages/node/src/crocusroad_node/gateway/_query.py
@@ -20,6 +20,7 @@
     Send,
 )
 from crocusroad_core.queueing import QueueEstimate, WaitingRequest
+from crocusroad_core.retry_budget import OpenRetries
 from crocusroad_core.routing import Router
 from crocusroad_node.counters import ATTEMPTS, ATTEMPTS_LOST
 from crocusroad_node.exchanges import (
@@ -110,6 +111,7 @@
         spec: QuerySpec,
         access: ReplicaAccess,
         guard: RequestGuard,
+        retries: OpenRetries,
         on_finish: Callable[[Finish], None],
     ) -> None:
         self.answers: dict[str, Response] = {}  # by shard
@@ -122,6 +124,7 @@
         self._spec = spec
         self._access = access
         self._guard = guard
+        self._retries = retries
         self._on_finish: Callable[[Finish], None] | None = on_finish
         self._loop = asyncio.get_running_loop()
         self._calls: dict[int, tuple[Attempt, Call]] = {}  # by serial
@@ -162,6 +165,9 @@
             self._access.router.on_abandoned(attempt.replica, waited, now)
             call.abort()
             self._guard.on_end(serial)
+            self._retries.on_end(
+                attempt.shard, serial, now, has_arrived=not call.is_sent
+            )
         self._calls.clear()
 
     def _execute(self, commands: list[Command]) -> None:
@@ -200,6 +206,18 @@
             lambda result: self._on_call_end(attempt, result),
         )
         self._calls[attempt.serial] = (attempt, call)
+        if self._retries.has(attempt.shard):
+            self._retries.on_sent(
+                attempt.shard, self._serials_of(attempt.shard)
+            )
+
+    def _serials_of(self, shard: str) -> list[int]:
+        """Return the attempts of a shard that are in flight."""
+        return [
+            serial
+            for serial, (attempt, _) in self._calls.items()
+            if attempt.shard == shard
+        ]
 
     def _is_sent(self, serial: int) -> bool:
         _, call = self._calls.get(serial, (None, None))
@@ -224,12 +242,17 @@
             self.sent -= 1
             router.on_failure(replica, FailureReason.no_connection, 0, now)
             call.abandon(_ignore)
+            self._retries.on_end(
+                attempt.shard, attempt.serial, now, has_arrived=True
+            )
             return
         router.on_abandoned(replica, seconds, now)
-        call.abandon(lambda result: self._on_abandoned_end(replica, result))
+        call.abandon(lambda result: self._on_abandoned_end(attempt, result))
 
-    def _on_abandoned_end(self, replica: Replica, result: CallResult) -> None:
+    def _on_abandoned_end(self, attempt: Attempt, result: CallResult) -> None:
         now = monotonic()
+        replica = attempt.replica
+        self._settle(attempt, result, now)
         is_answered = isinstance(result.outcome, Response)
         if isinstance(result.outcome, Response):
             self._apply_notice(replica, result.outcome)
@@ -243,6 +266,7 @@
         self._guard.on_end(attempt.serial)
         now = monotonic()
         outcome = result.outcome
+        self._settle(attempt, result, now)
         if isinstance(outcome, FailureReason):
             self.sent -= outcome.is_unreached
             if outcome is FailureReason.broken:
@@ -264,6 +288,13 @@
             self.error_response = outcome
         self._on_attempt_failure(attempt, reason, result.seconds, now)
 
+    def _settle(self, attempt: Attempt, result: CallResult, now: float) -> None:
+        """Record the end of an attempt; a silent replica may read it later."""
+        has_arrived = result.outcome is not FailureReason.silent
+        self._retries.on_end(
+            attempt.shard, attempt.serial, now, has_arrived=has_arrived
+        )
+
     def _apply_notice(self, replica: Replica, response: Response) -> None:
         notice = read_notice(response, self._access.header_names)
         if notice is not None:
@@ -312,6 +343,7 @@
 
     def _finish(self, finish: Finish) -> None:
         self._timer.stop()
+        self._retries.on_finish(monotonic())
         on_finish = self._on_finish
         self._on_finish = None
         if on_finish is not None:
--- a/tests/features/steps/exchanges.py
+++ b/tests/features/steps/exchanges.py
@@ -9,6 +9,7 @@
 from crocusroad_core.gather import FailureReason, Gather, Plan, Policy
 from crocusroad_core.poison import PoisonTracker
 from crocusroad_core.queueing import WaitingRequest
+from crocusroad_core.retry_budget import OpenRetries
 from crocusroad_core.routing import Router
 from crocusroad_node.exchanges import Call, ConnectionPool, Request
 from crocusroad_node.exchanges._sent_ids import SentIds
@@ -418,7 +419,12 @@
         None, b'id', is_fan_out=False
     )
     return Query(
-        lambda is_sent: Gather(plan, policy, is_sent), spec, access, guard, None
+        lambda is_sent: Gather(plan, policy, is_sent),
+        spec,
+        access,
+        guard,
+        OpenRetries(None),
+        None,
     )
 
 
