Start an instance without retry tokens, and let it earn slowly at first

Callers saw nothing; a service could get more repeats in a window than its budget if instances restarted while replicas were silent.

Cause: a process starts with a quarter of its share of the slack and earns at the whole ratio at once, though what the previous process of the instance sent may still arrive: each restart adds to the window.

It now starts without tokens and earns a quarter of the ratio at first, the whole ratio after two windows. The slack is refilled over time as before, so that a series of restarts gets no more of it than one process.

--- a/packages/core/src/crocusroad_core/retry_budget/_budget.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budget.py
@@ -5,11 +5,14 @@
 from crocusroad_core.retry_budget._recent_charges import RecentCharges
 from crocusroad_core.retry_budget._recent_count import RecentCount
 
-# Ratio of the bounds that instances use. The rest covers restarts: an instance
-# starts with a quarter of its slack, so the whole fleet may restart once in a
-# window.
+# Ratio of the bounds that instances use. The rest covers requests that are
+# counted in another window than their retries.
 USED_RATIO: Final = 0.8
-INITIAL_RATIO: Final = 0.25
+# The retries of the previous process of this instance may still arrive. So an
+# instance starts without tokens, and earns less for this many windows: at first
+# this ratio of what it earns later.
+STARTING_WINDOWS: Final = 2
+STARTING_RATIO: Final = 0.25
 # Ratio of an instance's slack that may be saved up. The rest is refilled over
 # time: incidents last longer than a window, and the slack is granted in each
 # window.
@@ -86,9 +89,8 @@
     def earn(self, service: str, now: float) -> None:
         """Count a request for a service."""
         account = self._update(service, now)
-        account.tokens = min(
-            account.tokens + self._tokens_per_request, self._capacity
-        )
+        earned = self._tokens_per_request * self._earning_ratio(now)
+        account.tokens = min(account.tokens + earned, self._capacity)
         account.requests.add(now, self._bounds.window_seconds)
 
     def spend(self, service: str, now: float) -> bool:
@@ -124,7 +126,6 @@
         bounds = self._bounds
         slack = bounds.slack * USED_RATIO / self._effective_instances
         self._slack = slack
-        self._initial_tokens = slack * INITIAL_RATIO
         self._capacity = min(
             slack, max(slack * CAPACITY_RATIO, MIN_CAPACITY_TOKENS)
         )
@@ -133,6 +134,12 @@
         ) / bounds.window_seconds
         self._tokens_per_request = bounds.ratio * USED_RATIO
 
+    def _earning_ratio(self, now: float) -> float:
+        """Return the ratio that is earned of a request's tokens."""
+        seconds = STARTING_WINDOWS * self._bounds.window_seconds
+        age_ratio = max(0, now - self._started_at) / seconds
+        return min(1, STARTING_RATIO + (1 - STARTING_RATIO) * age_ratio)
+
     def _update(self, service: str, now: float) -> _Account:
         """Return the account of a service with the tokens of now."""
         account = self._accounts.get(service)
@@ -164,7 +171,7 @@
         if now - spent_at > self._bounds.window_seconds:
             return self._capacity
         if account is None:
-            tokens, counted_at = self._initial_tokens, now
+            tokens, counted_at = float(0), self._started_at
         else:
             tokens, counted_at = account.tokens, account.counted_at
         elapsed = max(0, now - counted_at)
--- a/tests/features/retry_windows.feature
+++ b/tests/features/retry_windows.feature
@@ -8,5 +8,6 @@
     Examples:
       | property                                           |
       | repeats_that_arrive_late_stay_bounded              |
+      | repeats_stay_bounded_over_restarts_in_series       |
       | tokens_are_settled_when_the_last_attempt_has_ended |
       | token_of_an_attempt_never_sent_is_settled          |
--- a/tests/properties/retry_windows.py
+++ b/tests/properties/retry_windows.py
@@ -220,6 +220,22 @@
     check(story)
 
 
+@example(
+    Story(
+        45,
+        2.5,
+        (2.5,),
+        (Hold(118.63, 6.82, 1),),
+        tuple((20.38 + 3.3 * turn, INSTANCES) for turn in range(5)),
+        0.9,
+        10,
+    )
+)
+@given(story=stories)
+def repeats_stay_bounded_over_restarts_in_series(story):
+    check(story)
+
+
 class SettledBudgets:
     """Counts the tokens that are spent and settled."""
 
