Judge attempts, deadlines, crashing requests and rests on real processes

What callers saw: the users count cases of BUDGET without telling the sentence. The runs of a site judged repeats and attempts; deadlines were judged with a laxer share than the rule's, crashing requests and rests not at all.

Change: the judge holds the deadlines against the requests that were sent again late, counts the retries of a request that has crashed three replicas, and the requests of a gateway in a rest that a replica asked for. A replica that has ended refuses connections, as an ended process does; before, it accepted and reset them, and what it ran was recorded as left by its gateway. The time at which a request is read is recorded before a silent replica goes on. A run says for how long its clients and replicas were held up.

--- a/tests/site/callers.py
+++ b/tests/site/callers.py
@@ -54,8 +54,9 @@
 class Tried:
     """A request of a caller at one gateway, and how it ended."""
 
-    def __init__(self, request_id, kind, name, proc, *, is_kept):
+    def __init__(self, request_id, kind, name, proc, *, is_kept, path=''):
         self.id = request_id
+        self.path = path or f'{kind.prefix}{request_id}'
         self.kind = kind
         self.gateway = name
         self.proc = proc
@@ -116,6 +117,12 @@
             for conn in kept:
                 conn.writer.transport.abort()
 
+    async def send_path(self, kind, path):
+        """Send a request for a path, which is not sent again."""
+        zone = self._rng.choice(self._fleet.site.zones)
+        deadline = time.monotonic() + kind.deadline_ms / 1000
+        await self._try(kind, zone, None, deadline, path)
+
     async def _send_kind(self, kind):
         due = time.monotonic()
         while True:
@@ -164,10 +171,10 @@
             streams = await asyncio.open_connection(*self._fleet.endpoint(name))
         return Connection(name, proc, *streams)
 
-    async def _try(self, kind, zone, conn, deadline):
+    async def _try(self, kind, zone, conn, deadline, path=''):
         request_id = f'{next(self._ids):016x}'
         is_kept = conn is not None
-        tried = Tried(request_id, kind, '', None, is_kept=is_kept)
+        tried = Tried(request_id, kind, '', None, is_kept=is_kept, path=path)
         tried.retry_after = 0
         try:
             conn = conn or await self._connect(zone)
@@ -186,7 +193,7 @@
         tried.deadline_ms = max(1, int(left * 1000))
         body = b'' if tried.kind.is_repeatable else b'sum=1'
         head = (
-            f'{tried.kind.method} {tried.kind.prefix}{tried.id} HTTP/1.1\r\n'
+            f'{tried.kind.method} {tried.path} HTTP/1.1\r\n'
             'Host: pupu.example\r\n'
             f'X-Request-Id: {tried.id}\r\n'
             f'X-Request-Deadline: {tried.deadline_ms}\r\n'
--- a/tests/site/fleet.py
+++ b/tests/site/fleet.py
@@ -41,6 +41,7 @@
         self.names = [f'g{number}' for number in range(len(site.zones))]
         self.shards = [f's{number}' for number in range(site.shard_count)]
         self.stops = []  # planned ones
+        self.started_at = {}  # by process
         self.late_exits = []  # processes that had to be killed
         # Times of kills, freezes and trouble of the store.
         self.disruptions = []
@@ -151,6 +152,10 @@
     def endpoint(self, name):
         return self.host(name), FRONT_PORT
 
+    def spawn(self, name, log=None):
+        super().spawn(name, log)
+        self.started_at[self.procs[name]] = time.monotonic()
+
     async def stop_gateway(self, name):
         """Stop a gateway as the platform does; return when it has ended."""
         proc = self.procs[name]
--- a/tests/site/judge.py
+++ b/tests/site/judge.py
@@ -4,6 +4,8 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
+from tests.site.replica import CRASH_MARK
+
 LOSS_SLACK_SECONDS = 0.2
 PLANNED_EXTRA_SECONDS = 1  # after the grace of a stop
 LATE_SENT_SECONDS = 3  # after SIGTERM
@@ -12,6 +14,11 @@
 MAX_ATTEMPTS = 2
 DEADLINE_SLACK_SECONDS = 0.5
 MAX_LATE_DEADLINES = 20
+MAX_LATE_DEADLINE_SHARE = 0.2
+MAX_AFTER_CRASHES = 3
+DECIDING_CRASHES = 3
+REST_SLACK_SECONDS = 0.5
+MAX_IN_REST = 2
 STABLE_SECONDS = 4
 BROKEN_OFF = ('lost', 'ended')
 
@@ -44,6 +51,8 @@
             *self.over_budget(),
             *self.over_attempts(),
             *self.deadlines(),
+            *self.after_crashes(),
+            *self.in_rest(),
             *self.late_exits(),
         ]
 
@@ -181,23 +190,32 @@
 
     def deadlines(self):
         """Return whether replicas are handed more time than is left."""
-        found = []
-        passed_on = 0
+        handed = self.handed_deadlines()
+        most = max(
+            MAX_LATE_DEADLINES,
+            MAX_LATE_DEADLINE_SHARE * (handed.late + handed.sent_again),
+        )
+        if handed.late <= most:
+            return []
+        return [Finding('BUDGET', f'more time than is left: {handed}')]
+
+    def handed_deadlines(self):
+        """Return how many requests are handed more time than is left."""
+        late = sent_again = 0
         for tried in self._tried:
-            arrivals = self._arrivals[tried.id]
-            passed_on += bool(arrivals)
             by_service = defaultdict(list)
-            for arrival in sorted(arrivals, key=lambda arrival: arrival.at):
+            for arrival in self._arrivals[tried.id]:
                 by_service[arrival.of.service].append(arrival)
-            if any(
-                self._is_longer(tried, group[0], arrival)
+            pairs = [
+                (min(group, key=lambda first: first.read_at), arrival)
                 for group in by_service.values()
                 for arrival in group
-            ):
-                found.append(tried)
-        if len(found) <= max(MAX_LATE_DEADLINES, passed_on / 5):
-            return []
-        return [Finding('BUDGET', f'{len(found)} with more time than is left')]
+            ]
+            if any(self._is_longer(tried, *pair) for pair in pairs):
+                late += 1
+            elif any(is_sent_again(*pair) for pair in pairs):
+                sent_again += 1
+        return HandedDeadlines(late, sent_again)
 
     def _is_longer(self, tried, first, arrival):
         slack = DEADLINE_SLACK_SECONDS
@@ -205,12 +223,68 @@
         given = arrival.deadline_ms / 1000
         if not arrival.deadline_ms or given > own + slack:
             return True
-        if arrival.at <= first.at + slack:
+        if not is_sent_again(first, arrival):
             return False
-        end = arrival.at + given
-        first_end = first.at + first.deadline_ms / 1000
+        end = arrival.read_at + given
+        first_end = first.read_at + first.deadline_ms / 1000
         return end > max(first_end, tried.sent_at + own) + slack
 
+    def after_crashes(self):
+        """Return the requests that went on reaching replicas they crash."""
+        return [
+            Finding('BUDGET', f'{path} reached replicas in {count} retries')
+            for path, count in self.late_retries().items()
+            if count > MAX_AFTER_CRASHES
+        ]
+
+    def late_retries(self):
+        """Return the retries that reached replicas after the third crash."""
+        crashes = defaultdict(list)
+        for replica in self._fleet.replicas.values():
+            for at, path in replica.crashes:
+                crashes[path].append(at)
+        counts = Counter()
+        for tried in self._tried:
+            times = sorted(crashes[tried.path])
+            if len(times) >= DECIDING_CRASHES and CRASH_MARK in tried.path:
+                since = times[DECIDING_CRASHES - 1] + STABLE_SECONDS
+                counts[tried.path] += any(
+                    arrival.read_at > since
+                    and self._is_in_touch(tried.proc, arrival.read_at)
+                    for arrival in self._arrivals[tried.id]
+                )
+        return counts
+
+    def in_rest(self):
+        """Return the replicas that got requests in a rest they asked for."""
+        return [
+            Finding('BUDGET', f'{name} got {count} in a rest')
+            for name, count in self.rest_counts().items()
+            if count > MAX_IN_REST
+        ]
+
+    def rest_counts(self):
+        """Return the most requests of one gateway in one rest, by replica."""
+        counts = Counter()
+        for name, replica in self._fleet.replicas.items():
+            by_proc = defaultdict(list)
+            for arrival in replica.arrivals:
+                if arrival.id in self._by_id:
+                    proc = self._by_id[arrival.id].proc
+                    by_proc[proc].append(arrival)
+            for arrivals in by_proc.values():
+                counts[name] = max(counts[name], most_in_rest(arrivals))
+        return counts
+
+    def _is_in_touch(self, proc, now):
+        """Tell whether a gateway was started or stopped long ago, or never."""
+        since = now - STABLE_SECONDS
+        if self._fleet.started_at[proc] > since:
+            return False
+        return not any(
+            stop.proc is proc and stop.at <= now for stop in self._fleet.stops
+        )
+
     def _stop_of(self, tried):
         """Return the planned stop around which a request ended, or None."""
         for stop in self._fleet.stops:
@@ -260,3 +334,32 @@
     end: float
     extra: int
     allowed: float
+
+
+class HandedDeadlines(NamedTuple):
+    """How many requests are handed more time than is left."""
+
+    late: int
+    sent_again: int  # late as well, but with no more time than is left
+
+
+def is_sent_again(first, arrival):
+    """Tell whether an arrival is one that came late after the first."""
+    return arrival.read_at > first.read_at + DEADLINE_SLACK_SECONDS
+
+
+def most_in_rest(arrivals):
+    """Return the most arrivals that came in one rest that was asked for."""
+    return max(
+        (
+            sum(
+                asked.ended_at + REST_SLACK_SECONDS
+                < arrival.read_at
+                < asked.rest_until
+                for arrival in arrivals
+            )
+            for asked in arrivals
+            if asked.rest_until
+        ),
+        default=0,
+    )
--- a/tests/site/play.py
+++ b/tests/site/play.py
@@ -13,6 +13,7 @@
 from tests.support.fleet import ROOT
 
 WARM_UP_SECONDS = 4
+LAG_CHECK_SECONDS = 0.02
 
 
 class Play:
@@ -28,6 +29,7 @@
         self.troubles = TROUBLES
         self.stops = STOPS
         self.restarting = set()
+        self.longest_lag = 0  # seconds for which this process read nothing
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         number = 1 + seed % 200
@@ -39,9 +41,11 @@
         """Run the site and return its judge."""
         await self.fleet.start()
         sending = None
+        lag = asyncio.create_task(self._measure_lag())
         try:
             await self.fleet.populate(self.seed)
             await self.fleet.spawn_ready(*self.fleet.names)
+            self.longest_lag = 0
             sending = asyncio.create_task(self.callers.run())
             await asyncio.sleep(WARM_UP_SECONDS)
             await self._inject()
@@ -49,11 +53,19 @@
             sending.cancel()
             await self.callers.finish()
         finally:
+            lag.cancel()
             if sending is not None:
                 sending.cancel()
             await self.fleet.close()
         return Judge(self.fleet, self.callers)
 
+    async def _measure_lag(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_CHECK_SECONDS
+            await asyncio.sleep(LAG_CHECK_SECONDS)
+            self.longest_lag = max(self.longest_lag, loop.time() - due)
+
     async def _inject(self):
         loop = asyncio.get_running_loop()
         end = loop.time() + self.seconds
@@ -96,7 +108,13 @@
         f'worst window: {service}, {worst.extra} repeats of '
         f'{worst.allowed:.1f}',
     ]
-    lines.append(f'{len(judge.attempts_over())} ran on too many replicas')
+    lines += [
+        f'clients and replicas were held up for {play.longest_lag:.2f} s',
+        f'{len(judge.attempts_over())} ran on too many replicas',
+        f'{judge.handed_deadlines()}',
+        f'retries after the third crash: {dict(judge.late_retries())}',
+        f'in a rest, at most: {max(judge.rest_counts().values(), default=0)}',
+    ]
     lines += [
         f'  closed, {", ".join(key)}: {count}'
         for key, count in sorted(judge.closed_counts().items())
--- a/tests/site/replica.py
+++ b/tests/site/replica.py
@@ -15,17 +15,32 @@
 PAUSE_EVERY_SECONDS = 4.5
 MAX_QUEUED = 12
 POLL_SECONDS = 0.01
+REST_SECONDS = 3
+CRASH_SECONDS = 2
+CRASH_MARK = '/crash-'  # in the path of a request that crashes replicas
 
 
 class Arrival:
     """A request that reached a replica, and what became of it."""
 
-    __slots__ = ('at', 'began_at', 'deadline_ms', 'end', 'ended_at', 'id', 'of')
+    __slots__ = (
+        'at',
+        'began_at',
+        'deadline_ms',
+        'end',
+        'ended_at',
+        'id',
+        'of',
+        'read_at',
+        'rest_until',
+    )
 
-    def __init__(self, replica, req):
+    def __init__(self, replica, req, read_at):
         self.of = replica
         self.id = req.headers.get('x-request-id', '')
         self.at = time.monotonic()
+        self.read_at = read_at  # before a silent replica went on
+        self.rest_until = 0  # asked for by its answer
         self.deadline_ms = int(req.headers.get('x-request-deadline', 0))
         self.began_at = 0
         self.ended_at = 0
@@ -48,11 +63,13 @@
 class SiteReplica:
     """A replica of a site.
 
-    `mode` is ok, dark (reads and answers nothing), shed (refuses), lose (runs
-    the request and resets the connection), grey (answers 500), hang (reads and
-    never answers) or down (accepts no connection). In the modes but ok, dark
-    and down `share` of the requests are affected. `slowness` multiplies the
-    run time.
+    `mode` is ok, dark (reads and answers nothing), shed (refuses), rest
+    (refuses and asks for a rest), lose (runs the request and resets the
+    connection), grey (answers 500), hang (reads and never answers), full
+    (refuses new connections) or down (has ended). In the modes from shed to
+    hang `share` of the requests are affected. `slowness` multiplies the run
+    time. A request with `CRASH_MARK` in its path crashes the replica once it
+    runs.
     """
 
     def __init__(self, name, service, endpoint, works, limits, seed):
@@ -65,6 +82,7 @@
         self.share = 1
         self.slowness = 1
         self.arrivals = []
+        self.crashes = []  # (time, path of the request)
         self.reset_connections = 0
         self._works = works
         self._rng = Random(seed)
@@ -75,6 +93,9 @@
         self._light.set()
         self._pause_offset = self._rng.uniform(0, PAUSE_EVERY_SECONDS)
         self._server = None
+        self._is_listening = True
+        self._starting = asyncio.get_running_loop().create_future()
+        self._starting.set_result(None)
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, *self.endpoint)
@@ -82,6 +103,13 @@
     def set_mode(self, mode, share=1.0):
         self.mode, self.share = mode, share
         (self._light.clear if mode == 'dark' else self._light.set)()
+        is_closed = mode in ('full', 'down')
+        if is_closed and self._is_listening and self._starting.done():
+            self._server.close()
+            self._is_listening = False
+        elif not is_closed and not self._is_listening:
+            self._is_listening = True
+            self._starting = asyncio.create_task(self.start())
         if mode == 'down':
             self._reset_all()
 
@@ -102,8 +130,11 @@
         try:
             while True:
                 req = await read_request(reader)
+                read_at = time.monotonic()
                 await self._light.wait()
-                if req is None or not await self._answer(req, reader, writer):
+                if req is None or not await self._answer(
+                    req, read_at, reader, writer
+                ):
                     return
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -114,15 +145,18 @@
             with suppress(RuntimeError):
                 writer.close()
 
-    async def _answer(self, req, reader, writer):
+    async def _answer(self, req, read_at, reader, writer):
         if req.headers.get('x-expect-instance', self.name) != self.name:
             writer.write(
                 render_response(421, b'', {'X-Instance-Id': self.name})
             )
             return True
-        arrival = Arrival(self, req)
+        arrival = Arrival(self, req, read_at)
         self.arrivals.append(arrival)
         is_hit = self._rng.random() < self.share
+        if self.mode == 'rest' and is_hit:
+            arrival.rest_until = time.monotonic() + REST_SECONDS
+            return self._reject(arrival, writer)
         if (self.mode == 'shed' and is_hit) or self._waiting_count > MAX_QUEUED:
             return self._reject(arrival, writer)
         deadline = arrival.at + arrival.deadline_ms / 1000
@@ -147,13 +181,27 @@
                 async with asyncio.timeout(POLL_SECONDS):
                     await self._running.acquire()
                     return True
-            if reader.at_eof() or reader.exception():
-                arrival.finish('left')
+            if self._is_left(arrival, reader):
                 return False
 
+    def _is_left(self, arrival, reader):
+        """Record the end of a request whose connection has ended."""
+        if reader.at_eof() or reader.exception():
+            arrival.finish('ended' if self.mode == 'down' else 'left')
+            return True
+        return False
+
+    def _crash(self, path):
+        self.crashes.append((time.monotonic(), path))
+        self.set_mode('down')
+        loop = asyncio.get_running_loop()
+        loop.call_later(CRASH_SECONDS, self.set_mode, 'ok')
+
     def _reject(self, arrival, writer):
         arrival.finish('rejected')
         headers = {'X-Request-Id': arrival.id, 'X-Not-Executed': '1'}
+        if arrival.rest_until:
+            headers['Retry-After'] = str(REST_SECONDS)
         writer.write(render_response(503, b'', headers | self._load()))
         return True
 
@@ -173,6 +221,10 @@
 
     async def _run(self, req, reader, writer, arrival, is_hit):
         arrival.began_at = time.monotonic()
+        if CRASH_MARK in req.path:
+            arrival.finish('ended')
+            self._crash(req.path)
+            return False
         until = arrival.began_at + self._run_seconds(req.path)
         until += self._pause_left()
         limit = arrival.at + arrival.deadline_ms / 1000
@@ -180,8 +232,7 @@
         while is_hung or time.monotonic() < min(until, limit):
             left = max(0.001, until - time.monotonic())
             await asyncio.sleep(min(POLL_SECONDS, left))
-            if reader.at_eof() or reader.exception():
-                arrival.finish('left')
+            if self._is_left(arrival, reader):
                 return False
             is_hung = is_hung and self.mode == 'hang'
         if self.mode == 'down':
--- a/tests/site/troubles.py
+++ b/tests/site/troubles.py
@@ -5,6 +5,7 @@
 import time
 
 from tests.site.fleet import RESTART_SECONDS
+from tests.site.replica import CRASH_MARK
 
 READY_SECONDS = 10
 
@@ -90,6 +91,38 @@
     await set_for(chosen, 'down', 1, 5)
 
 
+async def rest_replicas(play, rng):
+    """Let replicas refuse requests and ask for a rest."""
+    chosen = choose(list(play.fleet.replicas.values()), 0.3, rng)
+    await set_for(chosen, 'rest', rng.choice([0.1, 0.5, 1]), 6.5)
+
+
+async def break_singles(play, rng):
+    """Let the replicas of single requests refuse, and lose answers."""
+    until = time.monotonic() + 6.5
+    replicas = singles_of(play)
+    while time.monotonic() < until:
+        for replica in replicas:
+            mode = rng.choice(['ok', 'shed', 'lose', 'lose', 'full'])
+            replica.set_mode(mode, rng.uniform(0.3, 1))
+        await asyncio.sleep(rng.uniform(0.1, 0.6))
+    for replica in replicas:
+        replica.set_mode('ok')
+
+
+async def send_crashing(play, rng):
+    """Send a request that crashes replicas again and again."""
+    kind = rng.choice(play.fleet.site.kinds)
+    path = f'{kind.prefix}{CRASH_MARK[1:]}{rng.randrange(10**9)}'
+    tasks = []
+    for _ in range(12):
+        for _ in range(rng.choice([1, 1, 3])):
+            coro = play.callers.send_path(kind, path)
+            tasks.append(asyncio.create_task(coro))
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+    await asyncio.gather(*tasks)
+
+
 async def press(play, rng):
     """Multiply the traffic."""
     play.callers.load *= 2.5
@@ -106,6 +139,9 @@
     break_replicas,
     lose_answers,
     crash_replicas,
+    rest_replicas,
+    break_singles,
+    send_crashing,
     press,
 )
 
