Keep crash reports in the store for instances that all restart together

What callers saw: after a stop of all gateways, a request that had crashed the replicas of its service crashed replicas again at each gateway it came to.

Cause: what is known of such requests was held in the memory of the instances alone. One that restarts asks the others; if all restart, nobody knows.

An entry that can't be read is skipped.

--- a/packages/node/src/crocusroad_node/gateway/_crash_reports.py
+++ b/packages/node/src/crocusroad_node/gateway/_crash_reports.py
@@ -136,7 +136,7 @@
         self.receive(message.reports)
         told = {timed.report.fingerprint for timed in message.reports}
         known = [
-            TimedReport(_trim(report), seconds)
+            TimedReport(trim(report), seconds)
             for report, seconds in self._tracker.reports(monotonic())
             if message.wants_all or report.fingerprint in told
         ]
@@ -197,13 +197,14 @@
 
     def _timed(self, report: CrashReport, now: float) -> TimedReport:
         seconds = self._tracker.seconds_left(report.fingerprint, now)
-        return TimedReport(_trim(report), seconds)
+        return TimedReport(trim(report), seconds)
 
     def _pass_on(self, report: CrashReport, now: float) -> None:
         self._passed_on.append((now, report))
 
 
-def _trim(report: CrashReport) -> CrashReport:
+def trim(report: CrashReport) -> CrashReport:
+    """Return a report that names as many upstreams as are of use."""
     return report._replace(
         canary=report.canary[:MAX_UPSTREAMS],
         fan_out=report.fan_out[:MAX_UPSTREAMS],
--- a/packages/node/src/crocusroad_node/gateway/_platform_protocol.py
+++ b/packages/node/src/crocusroad_node/gateway/_platform_protocol.py
@@ -32,5 +32,6 @@
     config_key: str
     replicas_prefix: str
     instances_prefix: str  # below which the instances register themselves
+    crashes_prefix: str  # below which the instances keep crash reports
     decode_config: Callable[[str], Result[RouteTable, str]]
     decode_registration: Callable[[str, str], Result[Registration, str]]
--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -19,6 +19,7 @@
     peer_request_handler,
 )
 from crocusroad_node.gateway._connection import CallerConnection, RequestHandler
+from crocusroad_node.gateway._crash_archive import CrashArchive
 from crocusroad_node.gateway._crash_reports import CrashReports
 from crocusroad_node.gateway._delegation_messages import DELEGATED_HEADER
 from crocusroad_node.gateway._directory import Directory
@@ -46,6 +47,7 @@
 from crocusroad_node.logs import log_event
 from crocusroad_node.node_lifecycle import NodeLifecycle
 from crocusroad_node.supervision import Job, supervise
+from crocusroad_wire import CrashReport
 
 _logger = logging.getLogger(__name__)
 
@@ -91,13 +93,20 @@
     get_client = make_peer_clients()
     tracker = PoisonTracker()
     crashes = CrashReports(tracker, own.name, selector, get_client)
+    archive = CrashArchive(
+        adapters.kv,
+        protocol.crashes_prefix,
+        own.name,
+        tracker,
+        crashes.receive,
+    )
     components = build_components(
         protocol,
         own,
         cfg.repeats,
         lambda: lifecycle.is_ready,
         tracker,
-        crashes.publish,
+        _publish_to(crashes.publish, archive.publish),
     )
     directory = components.directory
     store = RelayedStore(adapters.kv, selector, get_client, crashes.receive)
@@ -158,6 +167,7 @@
             'reload': reloader.run,
             'connections': components.warmer.run,
             'crash reports': crashes.run,
+            'crash archive': archive.run,
             'start': lambda: _serve_when_populated(
                 directory, lifecycle, start_hold
             ),
@@ -189,6 +199,16 @@
     )
 
 
+def _publish_to(
+    *publishers: Callable[[CrashReport], None],
+) -> Callable[[CrashReport], None]:
+    def publish(report: CrashReport) -> None:
+        for publisher in publishers:
+            publisher(report)
+
+    return publish
+
+
 def _own_member(cfg: GatewaySettings) -> FleetMember:
     address = '{}:{}'.format(*cfg.relay_listen)
     return FleetMember(
--- a/packages/platform/src/crocusroad_platform/_protocol.py
+++ b/packages/platform/src/crocusroad_platform/_protocol.py
@@ -12,6 +12,8 @@
 
 # Store keys under which this project's own instances register.
 INSTANCES_PREFIX: Final = 'crocusroad/instances/'
+# Store keys under which they keep reports of crashed replicas.
+CRASHES_PREFIX: Final = 'crocusroad/crashes/'
 
 PLATFORM_PROTOCOL: Final = PlatformProtocol(
     headers=HeaderNames(
@@ -30,6 +32,7 @@
     config_key=CONFIG_KEY,
     replicas_prefix=REPLICAS_PREFIX,
     instances_prefix=INSTANCES_PREFIX,
+    crashes_prefix=CRASHES_PREFIX,
     decode_config=decode_config,
     decode_registration=decode_registration,
 )
--- a/tests/features/gateway_poison.feature
+++ b/tests/features/gateway_poison.feature
@@ -32,6 +32,23 @@
     And the same read comes once at each gateway
     Then none of its last 3 requests reached a replica
 
+  # Guards against a fleet that forgets what crashes replicas as it restarts.
+  Scenario: Gateways that are all killed at once know which requests crash replicas
+    Given a fleet with 3 gateways and 4 replicas of single
+    When a read that crashes replicas comes 4 times, 1 second apart, at each gateway in turn
+    And all gateways are killed and start again
+    And the same read comes once at each gateway
+    Then none of its last 3 requests reached a replica
+
+  Scenario: Crash reports reach the store once it is back
+    Given a fleet with 3 gateways and 4 replicas of single
+    When the store rejects every call
+    And a read that crashes replicas comes 4 times, 1 second apart, at each gateway in turn
+    And the store is back for 2 seconds, with a crash report that can't be read
+    And all gateways are killed and start again
+    And the same read comes once at each gateway
+    Then none of its last 3 requests reached a replica
+
   # Many replicas close a connection under a request and run on.
   Scenario: A request whose answers are lost is not taken for one that crashes
     Given a fleet with 3 gateways and 4 replicas of single
--- a/tests/features/steps/gateway_poison.py
+++ b/tests/features/steps/gateway_poison.py
@@ -138,6 +138,22 @@
     run(context, main())
 
 
+@when('the store rejects every call')
+def step_store_rejects(context):
+    context.fleet.store.set_mode('busy')
+
+
+@when(
+    "the store is back for {seconds:g} seconds, with a crash report that can't"
+    ' be read'
+)
+def step_store_back(context, seconds):
+    store = context.fleet.store
+    store.set_mode('up')
+    store.put('crocusroad/crashes/g7', '[[["f1",7]]')
+    run(context, asyncio.sleep(seconds))
+
+
 @when('the same read comes once at each gateway')
 def step_once_each(context):
     send_in_turn(context, PATHS['read'], len(context.names), 0.1)
