--- a/tests/site/fleet.py
+++ b/tests/site/fleet.py
@@ -44,6 +44,7 @@
         self.stops = []  # planned ones
         self.late_exits = []  # stops whose process had to be killed
         self.late_steps = {}  # what its log and the kernel told, by its process
+        self.started_at = {}  # by process
         # Times of kills, freezes and trouble of the store.
         self.disruptions = []
 
@@ -153,6 +154,10 @@
     def endpoint(self, name):
         return self.host(name), FRONT_PORT
 
+    def spawn(self, name, log=None):
+        super().spawn(name, log)
+        self.started_at[self.procs[name]] = time.monotonic()
+
     async def stop_gateway(self, name):
         """Stop a gateway as the platform does; return when it has ended."""
         proc = self.procs[name]
