Guard against reads at silent replicas cut at the end of a stop

The scenario sends 6 reads on kept and 6 on new connections to each of three gateways, whose replicas are silent, and stops one gateway or all three.

--- a/tests/features/gateway_stop.feature
+++ b/tests/features/gateway_stop.feature
@@ -28,6 +28,18 @@
       | payment |
       | read    |
 
+  # At their deadline, 10 s, the process had ended and their connections with it.
+  Scenario Outline: Reads at silent replicas are not cut as <count> of 3 gateways stop
+    Given a fleet with 3 gateways with routes of 10 seconds
+    When each gateway has 6 reads at silent replicas on kept connections and 6 on new ones
+    And <count> gateways get SIGTERM
+    Then every read there is answered, and they exit with 0 within 6 seconds
+
+    Examples:
+      | count |
+      | 1     |
+      | 3     |
+
   Scenario: Pipelined requests that were read are answered before a stop closes
     Given a fleet with 1 gateway
     And each replica takes 0.3 seconds to answer
--- a/tests/features/steps/gateway_stop.py
+++ b/tests/features/steps/gateway_stop.py
@@ -15,9 +15,12 @@
 from tests.support.fleet import (
     FAN_OUT,
     FAST_MACHINE,
+    FRONT_PORT,
     GRACE_SECONDS,
     ROUTES,
     SLOW_MACHINE,
+    Answer,
+    read_answer,
     route,
 )
 
@@ -182,6 +185,97 @@
     run(context, main())
 
 
+class KeptCaller:
+    """A caller that sends several requests on one connection."""
+
+    def __init__(self, fleet, name):
+        self.fleet, self.name = fleet, name
+
+    async def connect(self):
+        host = self.fleet.host(self.name)
+        self.reader, self.writer = await asyncio.open_connection(
+            host, FRONT_PORT
+        )
+
+    async def read(self, path, request_id):
+        head = (
+            f'GET {path} HTTP/1.1\r\nHost: pupu.example\r\n'
+            f'X-Request-Id: {request_id}\r\nX-Request-Deadline: 10000\r\n\r\n'
+        )
+        try:
+            self.writer.write(head.encode())
+            return await read_answer(self.reader)
+        except (OSError, asyncio.IncompleteReadError):
+            return Answer()
+
+
+@when(
+    'each gateway has {kept:d} reads at silent replicas on kept connections and'
+    ' {new:d} on new ones'
+)
+def step_reads_at_silent(context, kept, new):
+    fleet = context.fleet
+
+    async def main():
+        callers = [
+            KeptCaller(fleet, name)
+            for name in fleet.procs
+            for _ in range(kept + new)
+        ]
+        for number, caller in enumerate(callers):
+            await caller.connect()
+            if number % (kept + new) < kept:
+                answer = await caller.read('/long/1', 'warm')
+                assert answer.status == 200, answer.status
+        for replica in fleet.replicas.values():
+            replica.mode = 'silent'
+        context.reads = [
+            (
+                caller.name,
+                asyncio.create_task(caller.read('/long/1', f'r{number}')),
+            )
+            for number, caller in enumerate(callers)
+        ]
+        await asyncio.sleep(0.3)
+        assert any(runs(context, f'r{n}') for n in range(len(callers)))
+
+    run(context, main())
+
+
+@when('{count:d} gateways get SIGTERM')
+def step_stop_gateways(context, count):
+    context.stopped = list(context.fleet.procs)[:count]
+    context.stopped_at = time.monotonic()
+    for name in context.stopped:
+        context.fleet.procs[name].send_signal(signal.SIGTERM)
+
+
+@then(
+    'every read there is answered, and they exit with 0 within {seconds:d}'
+    ' seconds'
+)
+def step_reads_answered(context, seconds):
+    async def main():
+        left = context.stopped_at + seconds - time.monotonic()
+        async with asyncio.timeout(left):
+            answers = [
+                await task
+                for name, task in context.reads
+                if name in context.stopped
+            ]
+        for name in context.stopped:
+            proc = context.fleet.procs[name]
+            left = context.stopped_at + seconds - time.monotonic()
+            await context.fleet.wait_until(
+                lambda proc=proc: proc.poll() is not None, left, name
+            )
+            assert proc.returncode == 0, proc.returncode
+        statuses = [answer.status for answer in answers]
+        assert 0 not in statuses, f'{statuses.count(0)} of {len(statuses)} cut'
+
+    run(context, main())
+
+
 @when('{count:d} reads are pipelined on one connection and g0 gets SIGTERM')
 def step_pipelined_stop(context, count):
     def stop():
