Wait for late answers at the end of a stop

A gateway that was held up around the end of its answers, 0.7 s before the end of its grace, began to exit with requests that it had read and passed on still unanswered. The drain ended at a fixed time. The timers that answer what is left fire late after a hold-up and put their work off by a millisecond, so that arrived responses are read first: it was left to what the event loop happened to do during the exit whether the callers got their answers.

The drain now ends at that time only if no request that was read lacks an answer, including the bytes that are still to be written. Otherwise it waits for them until 0.2 s before the end of the grace.

The scenario holds a gateway up from 5.2 to 5.5 s after SIGTERM of a grace of 6 s.

--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -81,6 +81,14 @@
         """Tell whether a request is being read or processed."""
         return self._is_busy or self._received_bytes > 0
 
+    @property
+    def is_answering(self) -> bool:
+        """Tell whether a request that was read has no complete answer yet."""
+        if self._is_busy or self._pipelined:
+            return True
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timer."""
         self._transport = cast(asyncio.Transport, transport)
--- a/packages/node/src/crocusroad_node/gateway/_drain.py
+++ b/packages/node/src/crocusroad_node/gateway/_drain.py
@@ -13,6 +13,8 @@
 BALANCER_SECONDS: Final = 2.3
 # Part of the grace period that is reserved for the last answers and the exit.
 EXIT_SECONDS: Final = 0.6
+# Part of it that is left for the exit if answers are late.
+LATE_EXIT_SECONDS: Final = 0.2
 # For the last answers to be written.
 WRITE_SECONDS: Final = 0.1
 POLL_SECONDS: Final = 0.05
@@ -24,6 +26,15 @@
     close_idle_at: float  # from which idle connections are closed
     answers_until: float  # by which every request has to be answered
     end_at: float
+    exit_by: float  # until which late answers are waited for
+
+    def is_over(
+        self, now: float, *, is_answering: bool, has_connections: bool
+    ) -> bool:
+        """Tell whether the process may end."""
+        if is_answering:
+            return now >= self.exit_by
+        return now >= self.end_at or not has_connections
 
 
 def plan_drain(now: float, grace: float) -> DrainTimes:
@@ -33,6 +44,7 @@
         now + min(BALANCER_SECONDS, grace / 2),
         max(now, end_at - WRITE_SECONDS),
         end_at,
+        max(end_at, now + grace - LATE_EXIT_SECONDS),
     )
 
 
@@ -43,14 +55,24 @@
 ) -> None:
     """Close idle connections until all are closed and no request is left.
 
-    Returns at the end of the times, even if requests are still in flight.
+    Returns at the end of the times. If the process was held up, so that
+    requests are still unanswered then, it waits for them as long as it may.
     """
     await asyncio.sleep(times.close_idle_at - monotonic())
-    while monotonic() < times.end_at:
+    while True:
         # Requests that arrived while the process was stopped are read first.
         await asyncio.sleep(READ_GRACE_SECONDS)
         for connection in tuple(context.connections):
             connection.close_if_idle()
-        if not in_flight() and not context.connections:
+        is_answering = in_flight() > 0 or _has_unanswered(context)
+        if times.is_over(
+            monotonic(),
+            is_answering=is_answering,
+            has_connections=bool(context.connections),
+        ):
             break
         await asyncio.sleep(POLL_SECONDS)
+
+
+def _has_unanswered(context: ConnectionContext) -> bool:
+    return any(conn.is_answering for conn in context.connections)
--- a/tests/features/gateway_stop.feature
+++ b/tests/features/gateway_stop.feature
@@ -40,6 +40,14 @@
       | 1     |
       | 3     |
 
+  # The end of the grace passed before the answers that were due were written.
+  Scenario: A gateway held up as its answers are due answers all before it exits
+    Given a fleet with 3 gateways with routes of 10 seconds
+    When each gateway has 6 reads at silent replicas on kept connections and 6 on new ones
+    And 1 gateway gets SIGTERM and is held up from 5.2 to 5.5 seconds after it
+    Then every read there is answered, and they exit with 0 within 6 seconds
+    And none was unanswered when they began to exit
+
   Scenario: Pipelined requests that were read are answered before a stop closes
     Given a fleet with 1 gateway
     And each replica takes 0.3 seconds to answer
--- a/tests/features/steps/gateway_stop.py
+++ b/tests/features/steps/gateway_stop.py
@@ -250,6 +250,22 @@
         context.fleet.procs[name].send_signal(signal.SIGTERM)
 
 
+@when(
+    '{count:d} gateway gets SIGTERM and is held up from {start:g} to {end:g}'
+    ' seconds after it'
+)
+def step_stop_held_up(context, count, start, end):
+    async def main():
+        step_stop_gateways(context, count)
+        for seconds, signum in ((start, signal.SIGSTOP), (end, signal.SIGCONT)):
+            due = context.stopped_at + seconds
+            await asyncio.sleep(max(0, due - time.monotonic()))
+            for name in context.stopped:
+                context.fleet.procs[name].send_signal(signum)
+
+    run(context, main())
+
+
 @then(
     'every read there is answered, and they exit with 0 within {seconds:d}'
     ' seconds'
@@ -276,6 +292,17 @@
     run(context, main())
 
 
+@then('none was unanswered when they began to exit')
+def step_none_unanswered(context):
+    for name in context.stopped:
+        counts = [
+            line['unanswered']
+            for line in context.fleet.lines(name)
+            if 'unanswered' in line
+        ]
+        assert counts == [0], counts
+
+
 @when('{count:d} reads are pipelined on one connection and g0 gets SIGTERM')
 def step_pipelined_stop(context, count):
     def stop():
