--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -137,6 +137,13 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    @property
+    def is_answering(self) -> bool:
+        """Tell whether a request that was read has no complete answer yet."""
+        if self._is_busy or self._pipelined:
+            return True
+        return self.unwritten_bytes > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timer."""
         self._transport = cast(asyncio.Transport, transport)
