Keep a connection whose pipelined request waits from being closed as idle

A caller with two requests on a connection got one answer if a stop closed idle connections between the reply to the first and the start of the second: the second had been read and was dropped. `is_busy` left out the requests that are read and wait, and they wait for one turn of the event loop after each reply.

The scenario closes idle connections after each reply. Before, one of the two requests was answered; now both are. It was found by reading the code for requests whose end isn't tied to their connection's; no run of a fleet has shown it.

--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -78,8 +78,10 @@
 
     @property
     def is_busy(self) -> bool:
-        """Tell whether a request is being read or processed."""
-        return self._is_busy or self._received_bytes > 0
+        """Tell whether a request is being read, waits or is processed."""
+        return (
+            self._is_busy or bool(self._pipelined) or self._received_bytes > 0
+        )
 
     @property
     def is_answering(self) -> bool:
--- a/tests/features/gateway_stop.feature
+++ b/tests/features/gateway_stop.feature
@@ -54,6 +54,12 @@
     When 3 reads are pipelined on one connection and g0 gets SIGTERM
     Then they are answered in order
 
+  # The second was dropped if idle connections were closed just then.
+  Scenario: A pipelined request is answered if a stop looks between two replies
+    Given a connection of a caller that is closed after 5 idle seconds
+    When it has 2 pipelined requests and idle ones are closed after each reply
+    Then both requests are answered
+
   Scenario: A fan-out given to another instance is answered as this one stops
     Given a slow and a fast gateway with routes of 10 seconds
     And every replica of s0 is "silent"
--- a/tests/features/steps/late_timers.py
+++ b/tests/features/steps/late_timers.py
@@ -78,6 +78,41 @@
         return runner.run(main())
 
 
+@when('it has 2 pipelined requests and idle ones are closed after each reply')
+def step_pipelined_close(context):
+    connections = context.connection_context.connections
+
+    def handle(req, send_reply):
+        def reply():
+            send_reply(Reply(200))
+            for connection in tuple(connections):
+                connection.close_if_idle()
+
+        asyncio.get_running_loop().call_soon(reply)
+        return noop_stop
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(context.connection_context, handle),
+            '127.0.0.1',
+            0,
+        )
+        with socket.create_connection(server.sockets[0].getsockname()) as sock:
+            sock.sendall(2 * REQUEST)
+            await asyncio.sleep(WAIT_SECONDS)
+            context.received = read_all(sock)
+        server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+
+
+@then('both requests are answered')
+def step_both_answered(context):
+    assert context.received.count(b'HTTP/1.1 200 ') == 2, context.received
+
+
 def read_all(caller):
     """Return what a caller has got; nothing if its connection was reset."""
     try:
