Give a new connection time for its first request at a stop

Callers whom the balancer sent to a stopping gateway 2.3 s after SIGTERM or later, when it still counted it as in rotation or had too few others, found their connection closed before their request was read, and had to come again. The drain took a connection without a request for idle at once, within 50 ms of its opening.

A connection is now closed as idle by a drain no sooner than 0.5 s after it was opened, unless it has had a request. The end of the drain is as before.

The scenario opens 10 connections from 2.4 to 3.3 s after SIGTERM, at a gateway that still has a request, and sends a read on each 0.15 s later. Before, all 10 were closed without an answer; now all are answered with 200.

--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -25,6 +25,9 @@
 
 MAX_PIPELINED: Final = 4  # requests on one connection
 MAX_BYTES_PER_BODY_BYTE: Final = 8  # a chunk of one byte takes six bytes
+# In which the first request on a new connection may arrive before a drain
+# closes it.
+FIRST_REQUEST_SECONDS: Final = 0.5
 
 _PROCESSING: Final = b'HTTP/1.1 102 Processing\r\n\r\n'
 
@@ -70,6 +73,7 @@
         self._stop: Callable[[], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._round_trip: float = 0  # to the caller, in seconds
+        self._opened_at = monotonic()
         self._is_new = True  # no request has been received yet
         self._is_busy = False
         self._is_closing = False  # no more reads or replies
@@ -198,8 +202,11 @@
         self._start_next()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is read or processed."""
-        if not self.is_busy and self._transport is not None:
+        """Close the connection unless a request is there or on its way."""
+        age = monotonic() - self._opened_at
+        is_awaited = self._is_new and age < FIRST_REQUEST_SECONDS
+        is_idle = not self.is_busy and not is_awaited
+        if is_idle and self._transport is not None:
             self._transport.close()
 
     @property
--- a/tests/features/gateway_stop.feature
+++ b/tests/features/gateway_stop.feature
@@ -48,6 +48,13 @@
     Then every read there is answered, and they exit with 0 within 6 seconds
     And none was unanswered when they began to exit
 
+  # A connection that the balancer had just opened was closed as idle.
+  Scenario: A stop does not close a new connection before its first request
+    Given a fleet with 3 gateways with routes of 10 seconds
+    When g0 has a payment of 8 seconds and gets SIGTERM
+    And 10 callers connect after 2.4 to 3.3 seconds and send a read 0.15 seconds later
+    Then every caller is answered with 200
+
   Scenario: Pipelined requests that were read are answered before a stop closes
     Given a fleet with 1 gateway
     And each replica takes 0.3 seconds to answer
--- a/tests/features/steps/gateway_stop.py
+++ b/tests/features/steps/gateway_stop.py
@@ -303,6 +303,32 @@
         assert counts == [0], counts
 
 
+@when(
+    '{count:d} callers connect after {start:g} to {end:g} seconds and send a'
+    ' read {seconds:g} seconds later'
+)
+def step_late_connections(context, count, start, end, seconds):
+    async def call(number):
+        caller = KeptCaller(context.fleet, 'g0')
+        due = context.stopped_at + start + number * (end - start) / (count - 1)
+        await asyncio.sleep(max(0, due - time.monotonic()))
+        await caller.connect()
+        await asyncio.sleep(seconds)
+        return await caller.read('/one/1', f'n{number}')
+
+    async def main():
+        calls = (call(number) for number in range(count))
+        context.caller_answers = await asyncio.gather(*calls)
+
+    run(context, main())
+
+
+@then('every caller is answered with {status:d}')
+def step_callers_answered(context, status):
+    statuses = [answer.status for answer in context.caller_answers]
+    assert set(statuses) == {status}, statuses
+
+
 @when('{count:d} reads are pipelined on one connection and g0 gets SIGTERM')
 def step_pipelined_stop(context, count):
     def stop():
