--- a/tests/features/gateway_stop.feature
+++ b/tests/features/gateway_stop.feature
@@ -48,12 +48,25 @@
     Then every read there is answered, and they exit with 0 within 6 seconds
     And none was unanswered when they began to exit
 
+  # A connection that the balancer had just opened was closed as idle.
+  Scenario: A stop does not close a new connection before its first request
+    Given a fleet with 3 gateways with routes of 10 seconds
+    When g0 has a payment of 8 seconds and gets SIGTERM
+    And 10 callers connect after 2.4 to 3.3 seconds and send a read 0.15 seconds later
+    Then every caller is answered with 200
+
   Scenario: Pipelined requests that were read are answered before a stop closes
     Given a fleet with 1 gateway
     And each replica takes 0.3 seconds to answer
     When 3 reads are pipelined on one connection and g0 gets SIGTERM
     Then they are answered in order
 
+  # The second was dropped if idle connections were closed just then.
+  Scenario: A pipelined request is answered if a stop looks between two replies
+    Given a connection of a caller that is closed after 5 idle seconds
+    When it has 2 pipelined requests and idle ones are closed after each reply
+    Then both requests are answered
+
   Scenario: A fan-out given to another instance is answered as this one stops
     Given a slow and a fast gateway with routes of 10 seconds
     And every replica of s0 is "silent"
