Let a run of a site hold single requests and then lose most answers

`--trouble hold_singles` lets the replicas of single requests answer nothing for 4.5 to 8 s and then lose nine of ten answers, so that repeats arrive together while more are due. The usual series of troubles stays.

--- a/tests/site/troubles.py
+++ b/tests/site/troubles.py
@@ -90,6 +90,14 @@
     await set_for(chosen, 'down', 1, 5)
 
 
+async def hold_singles(play, rng):
+    """Hold requests for seconds, then lose most answers."""
+    singles = singles_of(play)
+    held = choose(singles, rng.choice([0.6, 1]), rng)
+    await set_for(held, 'dark', 1, rng.uniform(4.5, 8))
+    await set_for(singles, 'lose', 0.9, 9)
+
+
 async def press(play, rng):
     """Multiply the traffic."""
     play.callers.load *= 2.5
@@ -163,3 +171,5 @@
 
 
 STOPS = (roll, stop_several)
+# Only injected where they are named.
+NAMED_ONLY = (hold_singles, kill_all)
