Read what has arrived before a stop closes a connection as idle

Cause: close_if_idle asked what had been read, and closed connections whose bytes the kernel still held; the close then resets them.

A drain now leaves a connection open while bytes of it are unread. The scenario failed before (connection closed, no answer) and passes now.

--- a/packages/node/src/crocusroad_node/gateway/_connection.py
+++ b/packages/node/src/crocusroad_node/gateway/_connection.py
@@ -269,7 +269,7 @@
         age = monotonic() - self._opened_at
         is_awaited = self._is_new and age < FIRST_REQUEST_SECONDS
         is_idle = not self.is_busy and not is_awaited
-        if is_idle and self._transport is not None:
+        if is_idle and self._transport is not None and not self._unread_bytes:
             self._record_end(CloseReason.drained)
             self._transport.close()
 
@@ -283,6 +283,13 @@
         # The target may have come together with the previous request.
         return self._received_bytes > 0 or bool(self._target)
 
+    @property
+    def _unread_bytes(self) -> int:
+        """Return how many bytes the kernel holds for the event loop."""
+        if self._transport is None:
+            return 0
+        return count_unread_bytes(self._transport.get_extra_info('socket'))
+
     def _partial_request(self) -> CallerRequest:
         """Return what has been read of a request."""
         return CallerRequest(
@@ -384,8 +391,7 @@
     def _record_end(self, reason: CloseReason) -> None:
         """Record that this instance closes the connection, unless it did."""
         if self._end is None and self._transport is not None:
-            sock = self._transport.get_extra_info('socket')
-            unread_bytes = self._received_bytes + count_unread_bytes(sock)
+            unread_bytes = self._received_bytes + self._unread_bytes
             self._end = ConnectionEnd(reason, self.state, unread_bytes)
 
     def _close_reason(self) -> str:
--- a/tests/features/gateway_stop.feature
+++ b/tests/features/gateway_stop.feature
@@ -67,6 +67,15 @@
     When it has 2 pipelined requests and idle ones are closed after each reply
     Then both requests are answered
 
+  Scenario: A request that has arrived unread is answered if a stop closes idle connections
+    Given a connection of a caller that is closed after 5 idle seconds
+    When it gets a request that is unread as idle ones are closed
+    Then the request is answered
+
+  Scenario: The times of a stop count from its signal
+    Given a gateway's process that is held up for 0.3 seconds after SIGTERM
+    Then its answers are due 5.3 seconds after SIGTERM
+
   Scenario: A fan-out given to another instance is answered as this one stops
     Given a slow and a fast gateway with routes of 10 seconds
     And every replica of s0 is "silent"
--- a/tests/features/steps/late_timers.py
+++ b/tests/features/steps/late_timers.py
@@ -1,6 +1,8 @@
 """Steps that stop the event loop of a connection from a caller."""
 
 import asyncio
+import os
+import signal
 import socket
 import time
 from types import SimpleNamespace
@@ -10,7 +12,10 @@
 
 from crocusroad_core.routes import RequestLimits
 from crocusroad_node.gateway._connection import CallerConnection
+from crocusroad_node.gateway._drain import plan_drain
 from crocusroad_node.gateway._reply import Reply, noop_stop
+from crocusroad_node.node_lifecycle import NodeLifecycle
+from tests.support.fleet import GRACE_SECONDS
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 STOP_AFTER_SECONDS = 0.05
@@ -109,6 +114,36 @@
         runner.run(main())
 
 
+@when('it gets a request that is unread as idle ones are closed')
+def step_unread_close(context):
+    connections = context.connection_context.connections
+
+    def handle(req, send_reply):
+        send_reply(Reply(200))
+        return noop_stop
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(context.connection_context, handle),
+            '127.0.0.1',
+            0,
+        )
+        with socket.create_connection(server.sockets[0].getsockname()) as sock:
+            sock.sendall(REQUEST)
+            await asyncio.sleep(WAIT_SECONDS)
+            read_all(sock)
+            sock.sendall(REQUEST)
+            for connection in tuple(connections):
+                connection.close_if_idle()
+            await asyncio.sleep(WAIT_SECONDS)
+            context.received = read_all(sock)
+        server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+
+
 @then('both requests are answered')
 def step_both_answered(context):
     assert context.received.count(b'HTTP/1.1 200 ') == 2, context.received
@@ -130,3 +165,31 @@
 @then('the caller gets the end of the connection')
 def step_closed(context):
     assert context.received == b'', context.received
+
+
+@given(
+    "a gateway's process that is held up for {seconds:g} seconds after SIGTERM"
+)
+def step_held_up_stop(context, seconds):
+    lifecycle = NodeLifecycle()
+
+    def stop():
+        lifecycle.drain()
+        time.sleep(seconds)
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop)
+        context.stopped_at = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await lifecycle.draining.wait()
+        context.times = plan_drain(lifecycle.drain_began_at, GRACE_SECONDS)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+
+
+@then('its answers are due {seconds:g} seconds after SIGTERM')
+def step_answers_due(context, seconds):
+    due = context.times.answers_until - context.stopped_at
+    assert abs(due - seconds) < 0.1, due
