Count the times of a stop from its signal

The lifecycle now notes when the signal was handled, and the plan counts from that. What passes between the signal and its handler is still not seen.

--- a/packages/node/src/crocusroad_node/gateway_root.py
+++ b/packages/node/src/crocusroad_node/gateway_root.py
@@ -27,7 +27,11 @@
     ConfigUpdater,
     ReplicaUpdater,
 )
-from crocusroad_node.gateway._drain import drain_connections, plan_drain
+from crocusroad_node.gateway._drain import (
+    DrainTimes,
+    drain_connections,
+    plan_drain,
+)
 from crocusroad_node.gateway._endpoints import (
     metrics_handler,
     readiness_handler,
@@ -187,8 +191,13 @@
     )
     await lifecycle.draining.wait()
     deregistration = asyncio.create_task(membership.deregister())
+    times = plan_drain(lifecycle.drain_began_at, reloader.cfg.grace)
     stop_log = await _drain(
-        components, callers_context, start_hold, reloader.cfg.grace
+        components,
+        callers_context,
+        start_hold,
+        times,
+        lifecycle.drain_began_at,
     )
     for task in (*tasks, deregistration):
         task.cancel()
@@ -202,16 +211,15 @@
     components: GatewayComponents,
     context: ListenerContext,
     start_hold: StartHold,
-    grace: float,
+    times: DrainTimes,
+    began_at: float,
 ) -> StopLog:
     gateway = components.gateway
-    now = monotonic()
-    times = plan_drain(now, grace)
     stop_log = StopLog(
         context,
         lambda: gateway.unanswered(start_hold.requests),
         times,
-        now,
+        began_at,
     )
     stop_log.begin()
     components.stop_by(times.answers_until)
--- a/packages/node/src/crocusroad_node/node_lifecycle.py
+++ b/packages/node/src/crocusroad_node/node_lifecycle.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from time import monotonic
 
 from transitions import Machine
 
@@ -20,6 +21,7 @@
     def __init__(self) -> None:
         self.draining = asyncio.Event()
         self.forced = asyncio.Event()
+        self.drain_began_at: float = 0  # seconds of the monotonic clock
         self._machine = Machine(
             states=list(NodeState),
             transitions=[list(transition) for transition in NODE_TRANSITIONS],
@@ -48,6 +50,7 @@
             log_event(_logger, 'stop forced')
             self.forced.set()
             return
+        self.drain_began_at = monotonic()
         self._machine.drain()
         self.draining.set()
 
