--- a/tests/site/__main__.py
+++ b/tests/site/__main__.py
@@ -23,6 +23,7 @@
     function.__name__: function
     for function in (
         *troubles.TROUBLES,
+        *troubles.BUDGET_TROUBLES,
         *troubles.STOPS,
         *troubles.NAMED_ONLY,
     )
