--- a/packages/core/src/crocusroad_core/retry_budget/_budget.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budget.py
@@ -9,8 +9,9 @@
 # counted in another window than their retries.
 USED_RATIO: Final = 0.8
 # The retries of the previous process of this instance may still arrive. So an
-# instance starts without tokens, and earns less for this many windows: at first
-# this ratio of what it earns later.
+# instance starts with a part of its slack, and earns less for some windows: at
+# first a part of what it earns later.
+INITIAL_RATIO: Final = 0.25
 STARTING_WINDOWS: Final = 2
 STARTING_RATIO: Final = 0.25
 # Ratio of an instance's slack that may be saved up. The rest is refilled over
@@ -126,6 +127,7 @@
         bounds = self._bounds
         slack = bounds.slack * USED_RATIO / self._effective_instances
         self._slack = slack
+        self._initial_tokens = slack * INITIAL_RATIO
         self._capacity = min(
             slack, max(slack * CAPACITY_RATIO, MIN_CAPACITY_TOKENS)
         )
@@ -171,7 +173,7 @@
         if now - spent_at > self._bounds.window_seconds:
             return self._capacity
         if account is None:
-            tokens, counted_at = float(0), self._started_at
+            tokens, counted_at = self._initial_tokens, self._started_at
         else:
             tokens, counted_at = account.tokens, account.counted_at
         elapsed = max(0, now - counted_at)
