Keep the slots of the replicas of a site

Most fan-outs of a run of a site ended with 502 once troubles overlapped, and went on to after all of them had ended. The gateways' logs show replicas that refuse: their queues were full while few requests ran. A slot was lost when `asyncio.timeout` ended a wait for the semaphore as it was granted.

Slots are now counted, and granted in order. A dark replica accepts no connection, and finishes no run, and connections closed at the other end don't count towards its limit. Requests that a replica's end interrupts have ended and not left. Answers to connections that were closed no longer raise errors. The body is made once, and runs look every 50 ms whether the caller left, because the stand-ins used most of a processor.

--- a/tests/site/replica.py
+++ b/tests/site/replica.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import time
+from collections import deque
 from contextlib import suppress
 from random import Random
 from typing import NamedTuple
@@ -14,13 +15,17 @@
 PAUSE_SECONDS = 0.2
 PAUSE_EVERY_SECONDS = 4.5
 MAX_QUEUED = 12
-POLL_SECONDS = 0.01
+POLL_SECONDS = 0.05
+HEALTH_PATH = '/health'
 
 
 class Arrival:
     """A request that reached a replica, and what became of it."""
 
-    __slots__ = ('at', 'began_at', 'deadline_ms', 'end', 'ended_at', 'id', 'of')
+    __slots__ = (
+        'at', 'began_at', 'deadline_ms', 'end', 'ended_at', 'id', 'is_silent',
+        'of',
+    )  # fmt: skip
 
     def __init__(self, replica, req):
         self.of = replica
@@ -29,6 +34,7 @@
         self.deadline_ms = int(req.headers.get('x-request-deadline', 0))
         self.began_at = 0
         self.ended_at = 0
+        self.is_silent = False  # the replica, at any time of the run
         # 'answered', 'rejected', 'left' (by the caller), 'lost' (the answer)
         # or 'ended' (the replica)
         self.end = ''
@@ -48,7 +54,7 @@
 class SiteReplica:
     """A replica of a site.
 
-    `mode` is ok, dark (reads and answers nothing), shed (refuses), lose (runs
+    `mode` is ok, dark (neither accepts nor answers), shed (refuses), lose (runs
     the request and resets the connection), grey (answers 500), hang (reads and
     never answers) or down (accepts no connection). In the modes but ok, dark
     and down `share` of the requests are affected. `slowness` multiplies the
@@ -67,10 +73,11 @@
         self.arrivals = []
         self.reset_connections = 0
         self._works = works
+        self._body = b''.join(records(service, 8)) + b'rest'
         self._rng = Random(seed)
-        self._running = asyncio.Semaphore(self.slots)
-        self._running_count = self._waiting_count = 0
-        self._writers = set()
+        self._running_count = 0
+        self._line = deque()  # futures of the requests that wait for a slot
+        self._readers = {}  # by writer
         self._light = asyncio.Event()
         self._light.set()
         self._pause_offset = self._rng.uniform(0, PAUSE_EVERY_SECONDS)
@@ -86,19 +93,28 @@
             self._reset_all()
 
     def close(self):
+        self.mode = 'down'
         self._server.close()
         self._reset_all()
 
     def _reset_all(self):
-        for writer in tuple(self._writers):
+        for writer in tuple(self._readers):
             reset(writer)
 
+    @property
+    def is_busy(self):
+        return self._running_count > 0 or bool(self._line)
+
+    def _open_count(self):
+        return sum(not is_closed(reader) for reader in self._readers.values())
+
     async def _serve(self, reader, writer):
-        if len(self._writers) >= self.max_connections or self.mode == 'down':
+        await self._light.wait()
+        if self._open_count() >= self.max_connections or self.mode == 'down':
             self.reset_connections += 1
             reset(writer)
             return
-        self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             while True:
                 req = await read_request(reader)
@@ -107,14 +123,20 @@
                     return
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
+        except RuntimeError:
+            pass  # the connection was closed before the answer
         except asyncio.CancelledError:
             return
         finally:
-            self._writers.discard(writer)
+            self._readers.pop(writer, None)
             with suppress(RuntimeError):
                 writer.close()
 
     async def _answer(self, req, reader, writer):
+        if req.path == HEALTH_PATH:
+            headers = {'X-Instance-Id': self.name} | self._load()
+            writer.write(render_response(200, b'', headers))
+            return True
         if req.headers.get('x-expect-instance', self.name) != self.name:
             writer.write(
                 render_response(421, b'', {'X-Instance-Id': self.name})
@@ -123,33 +145,39 @@
         arrival = Arrival(self, req)
         self.arrivals.append(arrival)
         is_hit = self._rng.random() < self.share
-        if (self.mode == 'shed' and is_hit) or self._waiting_count > MAX_QUEUED:
+        if (self.mode == 'shed' and is_hit) or len(self._line) > MAX_QUEUED:
             return self._reject(arrival, writer)
         deadline = arrival.at + arrival.deadline_ms / 1000
-        self._waiting_count += 1
-        try:
-            if not await self._wait_for_slot(reader, deadline, arrival):
-                return False
-        finally:
-            self._waiting_count -= 1
+        if not await self._wait_for_slot(reader, arrival):
+            return False
         try:
-            self._running_count += 1
             if time.monotonic() > deadline:
                 return self._reject(arrival, writer)
             return await self._run(req, reader, writer, arrival, is_hit)
         finally:
             self._running_count -= 1
-            self._running.release()
-
-    async def _wait_for_slot(self, reader, deadline, arrival):
-        while True:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(POLL_SECONDS):
-                    await self._running.acquire()
-                    return True
-            if reader.at_eof() or reader.exception():
-                arrival.finish('left')
+            self._grant_slots()
+
+    async def _wait_for_slot(self, reader, arrival):
+        """Wait for a slot; return False if the caller left meanwhile."""
+        turn = asyncio.get_running_loop().create_future()
+        self._line.append(turn)
+        self._grant_slots()
+        while not turn.done():
+            await asyncio.wait((turn,), timeout=POLL_SECONDS)
+            if is_closed(reader) and not turn.done():
+                self._line.remove(turn)
+                arrival.finish(self._end_of_run())
                 return False
+        return True
+
+    def _grant_slots(self):
+        while self._line and self._running_count < self.slots:
+            self._line.popleft().set_result(None)
+            self._running_count += 1
+
+    def _end_of_run(self):
+        return 'ended' if self.mode == 'down' else 'left'
 
     def _reject(self, arrival, writer):
         arrival.finish('rejected')
@@ -158,7 +186,7 @@
         return True
 
     def _load(self):
-        load = f'{self._running_count},{self._waiting_count},{self.slots}'
+        load = f'{self._running_count},{len(self._line)},{self.slots}'
         return {'X-Server-Load': load}
 
     def _run_seconds(self, path):
@@ -177,13 +205,17 @@
         until += self._pause_left()
         limit = arrival.at + arrival.deadline_ms / 1000
         is_hung = self.mode == 'hang' and is_hit
+        arrival.is_silent = is_hung
         while is_hung or time.monotonic() < min(until, limit):
             left = max(0.001, until - time.monotonic())
             await asyncio.sleep(min(POLL_SECONDS, left))
-            if reader.at_eof() or reader.exception():
-                arrival.finish('left')
+            if is_closed(reader):
+                arrival.finish(self._end_of_run())
                 return False
             is_hung = is_hung and self.mode == 'hang'
+        if not self._light.is_set():
+            arrival.is_silent = True
+            await self._light.wait()
         if self.mode == 'down':
             arrival.finish('ended')
             return False
@@ -203,11 +235,17 @@
             'X-Response-Stamp': f'{self.name}.{arrival.id}.{status}',
             'Keep-Alive': 'timeout=15',
         }
-        body = b''.join(records(self.service, 8)) + b'rest'
-        writer.write(render_response(status, body, headers | self._load()))
+        writer.write(
+            render_response(status, self._body, headers | self._load())
+        )
         arrival.finish('answered')
 
 
+def is_closed(reader):
+    """Return whether the other end has closed a connection."""
+    return reader.at_eof() or reader.exception() is not None
+
+
 def reset(writer):
     """Reset a connection."""
     sock = writer.get_extra_info('socket')
--- a/tests/standins/fleet_store.py
+++ b/tests/standins/fleet_store.py
@@ -100,8 +100,8 @@
                 self.expire()
                 if not await self.answer(req, writer, host):
                     break
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
+        except (ConnectionError, asyncio.IncompleteReadError, RuntimeError):
+            pass  # RuntimeError: the connection was closed before the answer
         except asyncio.CancelledError:
             return
         finally:
