--- a/tests/site/__main__.py
+++ b/tests/site/__main__.py
@@ -1,9 +1,11 @@
 """Command line of the runs of a site.
 
 Run: python -m tests.site SITE [--seeds FIRST:LAST] [--seconds S] [--load X]
-         [--trouble NAME ...] [--stop NAME ...] [--checkout DIR] [--logs DIR]
-Exits with status 1 if a rule was broken. The same seed injects the same series
-of troubles. `--checkout` names another checkout whose gateways are run.
+         [--trouble NAME ...] [--stop NAME ...] [--change NAME ...]
+         [--gateways TIMES] [--busy COUNT] [--checkout DIR] [--logs DIR]
+Exits with status 1 if a rule was broken or a run could not be judged. The same
+seed injects the same series of troubles. `--checkout` names another checkout
+whose gateways are run.
 """
 
 import argparse
@@ -21,13 +23,20 @@
 SHOWN_FINDINGS = 12
 NAMED = {
     function.__name__: function
-    for function in (*troubles.TROUBLES, *troubles.STOPS, troubles.kill_all)
+    for function in (
+        *troubles.TROUBLES,
+        *troubles.STOPS,
+        *troubles.CHANGES,
+        *troubles.DISRUPTIONS,
+        troubles.kill_all,
+    )
 }
 
 
 def run_seed(seed, args):
-    """Run a seed, print its result and return whether no rule was broken."""
+    """Run a seed, print its result and return whether it kept the rules."""
     site = DEPLOYMENTS[args.site]
+    site = site._replace(zones=site.zones * args.gateways)
     play = Play(
         site, seed, args.seconds, load=args.load, checkout=args.checkout
     )
@@ -35,9 +44,13 @@
         play.troubles = tuple(NAMED[name] for name in args.trouble)
     if args.stop is not None:
         play.stops = tuple(NAMED[name] for name in args.stop)
+    if args.change is not None:
+        play.changes = tuple(NAMED[name] for name in args.change)
+    play.busy_processes = args.busy
     judge = uvloop.run(play.run())
     findings = judge.findings()
-    print(f'seed {seed}: {len(findings)} findings', flush=True)
+    verdict = '' if play.is_judged else ', not judged'
+    print(f'seed {seed}: {len(findings)} findings{verdict}', flush=True)
     for line in summary(play, judge):
         print(f'  {line}')
     for finding in findings[:SHOWN_FINDINGS]:
@@ -45,7 +58,7 @@
     if args.logs:
         shutil.copytree(play.folder, Path(args.logs) / f'{args.site}-{seed}')
     play.close()
-    return not findings
+    return play.is_judged and not findings
 
 
 def main():
@@ -56,6 +69,9 @@
     parser.add_argument('--load', type=float, default=1)
     parser.add_argument('--trouble', nargs='*', choices=sorted(NAMED))
     parser.add_argument('--stop', nargs='*', choices=sorted(NAMED))
+    parser.add_argument('--change', nargs='*', choices=sorted(NAMED))
+    parser.add_argument('--gateways', type=int, default=1)
+    parser.add_argument('--busy', type=int, default=0)
     parser.add_argument('--checkout', default=ROOT)
     parser.add_argument('--logs')
     args = parser.parse_args()
--- a/tests/site/judge.py
+++ b/tests/site/judge.py
@@ -5,8 +5,12 @@
 from typing import NamedTuple
 
 LOSS_SLACK_SECONDS = 0.2
-PLANNED_EXTRA_SECONDS = 1  # after the grace of a stop
+PLANNED_EXTRA_SECONDS = 1  # after a stop's grace or a configuration's time
+APPLY_SECONDS = 3
+USED_SHARE = 0.7  # of a request's time, beside a configuration
+UNREAD_SECONDS = 0.3  # between two looks at what a gateway has read
 LATE_SENT_SECONDS = 3  # after SIGTERM
+ROUNDING_SECONDS = 1e-6
 MAX_CUT_ON_KEPT = 3
 MAX_OVER_ATTEMPTS = 3
 MAX_ATTEMPTS = 2
@@ -32,19 +36,20 @@
         self._tried = callers.tried
         self._by_id = {tried.id: tried for tried in callers.tried}
         self._arrivals = defaultdict(list)  # by request id
-        for replica in fleet.replicas.values():
+        for replica in fleet.all_replicas:
             for arrival in replica.arrivals:
                 self._arrivals[arrival.id].append(arrival)
 
     def findings(self):
         """Return what broke a rule."""
         return [
-            *self.cut_around_stops(),
+            *self.cut_around_work(),
             *self.cut_on_kept(),
             *self.over_budget(),
             *self.over_attempts(),
             *self.deadlines(),
             *self.late_exits(),
+            *(Finding('FAULT', text) for text in self._fleet.failed),
         ]
 
     def late_exits(self):
@@ -53,39 +58,54 @@
             for stop in self._fleet.late_exits
         ]
 
-    def cut_around_stops(self):
-        """Return the requests that a planned stop left without an answer."""
+    def cut_around_work(self):
+        """Return the requests that planned work left without an answer."""
         found = []
         for tried in self._tried:
-            stop = self._stop_of(tried)
-            if tried.end != 'closed' or stop is None:
+            if tried.end != 'closed' or not self._is_counted(tried):
                 continue
-            if self._is_disrupted(
-                tried.sent_at - STABLE_SECONDS, tried.ended_at
-            ):
-                continue
-            took = tried.ended_at - tried.sent_at
-            arrivals = self._arrivals[tried.id]
-            is_counted = arrivals or took > LOSS_SLACK_SECONDS
-            if is_counted and not self._is_excused(tried, stop, arrivals):
-                found.append(Finding('LOST', self._describe(tried, stop)))
+            work = self._work_of(tried)
+            if work and not self._is_disrupted(tried, tried.sent_at):
+                found.append(
+                    Finding('LOST', f'{work}: {self._describe(tried)}')
+                )
         return found
 
-    def closed_counts(self):
-        """Return how connections that closed without an answer did."""
-        counts = Counter()
-        for tried in self._tried:
-            if tried.end == 'closed':
-                took = tried.ended_at - tried.sent_at
-                counts[
-                    'stop' if self._stop_of(tried) else 'other',
-                    'kept' if tried.is_kept else 'new',
-                    'passed on'
-                    if self._arrivals[tried.id]
-                    else 'not passed on',
-                    'late' if took > LOSS_SLACK_SECONDS else 'at once',
-                ] += 1
-        return counts
+    def _is_counted(self, tried):
+        """Return whether a request was passed on, or read and kept waiting."""
+        if self._has_broken_off(tried) or is_over(tried):
+            return False
+        if self._arrivals[tried.id]:
+            return True
+        was_unread = tried.unread_at > tried.ended_at - UNREAD_SECONDS
+        took = tried.ended_at - tried.sent_at
+        return took > LOSS_SLACK_SECONDS and not was_unread
+
+    def _has_broken_off(self, tried):
+        """Return whether the last replica of each service broke off."""
+        last = {}
+        for arrival in sorted(self._arrivals[tried.id], key=lambda a: a.at):
+            last[arrival.of.service] = arrival.end
+        return bool(last) and all(end in BROKEN_OFF for end in last.values())
+
+    def _work_of(self, tried):
+        """Return the planned work around which a request ended, or ''."""
+        stop = self._stop_of(tried)
+        if stop and not self._is_at_work_late(tried, stop):
+            return f'SIGTERM {stop.at - tried.sent_at:+.3f} after sending'
+        for hangup in self._fleet.hangups:
+            is_sent = tried.sent_at <= hangup.at + APPLY_SECONDS
+            is_cut = hangup.at <= tried.ended_at
+            if hangup.proc is tried.proc and is_sent and is_cut:
+                return f'SIGHUP {hangup.at - tried.sent_at:+.3f}'
+        used = tried.ended_at - tried.sent_at
+        if used >= USED_SHARE * tried.deadline_ms / 1000:
+            return ''
+        for at in self._fleet.configured_at:
+            until = at + APPLY_SECONDS + PLANNED_EXTRA_SECONDS
+            if at <= tried.ended_at <= until:
+                return f'configuration {at - tried.sent_at:+.3f}'
+        return ''
 
     def cut_on_kept(self):
         """Return the requests on kept connections cut at sound replicas."""
@@ -95,17 +115,13 @@
             if tried.end == 'closed'
             and tried.is_kept
             and self._arrivals[tried.id]
-            and not any(a.end in BROKEN_OFF for a in self._arrivals[tried.id])
-            and not self._is_disrupted(
-                tried.sent_at - STABLE_SECONDS, tried.ended_at
-            )
-            and self._stop_of(tried) is None
+            and not self._has_broken_off(tried)
+            and self._is_in_touch(tried)
         ]
         if len(found) <= MAX_CUT_ON_KEPT:
             return []
         return [
-            Finding('LOST', f'kept: {self._describe(tried, None)}')
-            for tried in found
+            Finding('LOST', f'kept: {self._describe(tried)}') for tried in found
         ]
 
     def over_budget(self):
@@ -133,8 +149,9 @@
         )
         extras = self._extras(service)
         worst = Window(0, 0, 1)
-        for end in extras:
-            start = end - window
+        # A window begins or ends with a repeat.
+        for end in sorted({*extras, *(at + window for at in extras)}):
+            start = end - window - ROUNDING_SECONDS
             extra = bisect_right(extras, end) - bisect_left(extras, start)
             requests = max(
                 bisect_right(sent, end - shift)
@@ -149,7 +166,7 @@
     def _extras(self, service):
         """Return the times of the arrivals beyond the first, in order."""
         by_id = defaultdict(list)
-        for replica in self._fleet.replicas.values():
+        for replica in self._fleet.all_replicas:
             if replica.service == service:
                 for arrival in replica.arrivals:
                     by_id[arrival.id].append(arrival.at)
@@ -219,41 +236,58 @@
                 return stop
         return None
 
-    def _is_disrupted(self, start, end):
-        return any(start <= at <= end for at in self._fleet.disruptions)
+    def _is_disrupted(self, tried, start):
+        """Return whether its gateway or the store was disrupted since then."""
+        return any(
+            disruption.name in ('', tried.gateway)
+            and disruption.start <= tried.ended_at
+            and disruption.end >= start - STABLE_SECONDS
+            for disruption in self._fleet.disruptions
+        )
 
-    def _is_excused(self, tried, stop, arrivals):
-        if any(arrival.end in BROKEN_OFF for arrival in arrivals):
-            return True
-        if tried.ended_at >= tried.sent_at + tried.deadline_ms / 1000:
-            return True
+    def _is_in_touch(self, tried):
+        """Return whether its gateway was in touch when a request ended."""
+        since = tried.ended_at - STABLE_SECONDS
+        return (
+            not self._is_disrupted(tried, tried.ended_at)
+            and self._fleet.started_at[tried.proc] < since
+            and not any(
+                stop.proc is tried.proc and since <= stop.at <= tried.ended_at
+                for stop in self._fleet.stops
+            )
+        )
+
+    def _is_at_work_late(self, tried, stop):
+        """Return whether a replica was at work in the last sixth of a stop."""
         if tried.sent_at > stop.at + LATE_SENT_SECONDS:
             return False
         last_sixth = stop.at + self._site.grace * 5 / 6
         return any(
             arrival.began_at
-            and arrival.of.mode not in ('dark', 'hang')
+            and not arrival.is_silent
+            and arrival.began_at <= tried.ended_at
             and (not arrival.ended_at or arrival.ended_at >= last_sixth)
             and tried.ended_at >= last_sixth
-            for arrival in arrivals
+            for arrival in self._arrivals[tried.id]
         )
 
-    def _describe(self, tried, stop):
+    def _describe(self, tried):
         arrivals = ', '.join(
             f'{a.of.name} +{a.at - tried.sent_at:.3f} {a.end or "open"}'
             for a in self._arrivals[tried.id]
         )
         kind = 'kept' if tried.is_kept else 'new'
-        around = ''
-        if stop is not None:
-            around = f', SIGTERM {stop.at - tried.sent_at:+.3f} after sending'
         return (
             f'{tried.kind.name} {tried.id} at {tried.gateway} closed after '
-            f'{tried.ended_at - tried.sent_at:.3f} s, {kind}{around} '
-            f'[{arrivals}]'
+            f'{tried.ended_at - tried.sent_at:.3f} s, {kind} [{arrivals}]'
         )
 
 
+def is_over(tried):
+    """Return whether the deadline of a request was reached."""
+    return tried.ended_at >= tried.sent_at + tried.deadline_ms / 1000
+
+
 class Window(NamedTuple):
     """The repeats that a service got in one window, and those allowed."""
 
--- a/tests/site/play.py
+++ b/tests/site/play.py
@@ -1,6 +1,9 @@
 """One run of a site: its fleet, its callers and a seeded series of troubles."""
 
 import asyncio
+import gc
+import subprocess
+import sys
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -9,29 +12,44 @@
 from tests.site.callers import Callers
 from tests.site.fleet import SiteFleet
 from tests.site.judge import Judge
-from tests.site.troubles import STOPS, TROUBLES
+from tests.site.troubles import CHANGES, DISRUPTIONS, STOPS, TROUBLES
 from tests.support.fleet import ROOT
 
 WARM_UP_SECONDS = 4
+PREPARED_PROCESSES = 40
+LAG_POLL_SECONDS = 0.02
+# A longer delay looks like one of the gateways.
+MAX_LAG_SECONDS = 0.2
 
 
 class Play:
     """A run of a site; the same seed injects the same series of troubles.
 
-    `troubles` and `stops` name the functions to draw from; `checkout` holds
-    the gateways' program.
+    `troubles`, `stops` and `changes` name the functions to draw from, and
+    `checkout` holds the gateways' program. `busy_processes` run beside it,
+    and `planted` names a fault planted in the gateways.
     """
 
-    def __init__(self, site, seed, seconds, *, load=1.0, checkout=ROOT):
+    def __init__(
+        self, site, seed, seconds, *, load=1.0, checkout=ROOT, planted=''
+    ):
         self.rng = Random(seed)
         self.seconds = seconds
         self.troubles = TROUBLES
         self.stops = STOPS
+        # Every third seed, so that LOST is judged without pauses in the others.
+        self.changes = CHANGES + (() if seed % 3 else DISRUPTIONS)
+        self.busy_processes = 0
+        self.lag = 0  # greatest delay of this process, in seconds
         self.restarting = set()
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         number = 1 + seed % 200
         self.fleet = SiteFleet(site, self.folder, number, checkout)
+        if planted:
+            self.fleet.program = [
+                sys.executable, '-m', 'tests.soak.planted', planted
+            ]  # fmt: skip
         self.callers = Callers(self.fleet, seed + 1, load)
         self.seed = seed
 
@@ -39,9 +57,15 @@
         """Run the site and return its judge."""
         await self.fleet.start()
         sending = None
+        busy = start_busy(self.busy_processes)
+        watch = asyncio.create_task(self._watch_lag())
+        # A collection would delay the replicas, the store and the callers.
+        gc.disable()
         try:
             await self.fleet.populate(self.seed)
+            self.fleet.prepare(PREPARED_PROCESSES // len(self.fleet.names))
             await self.fleet.spawn_ready(*self.fleet.names)
+            self.lag = 0
             sending = asyncio.create_task(self.callers.run())
             await asyncio.sleep(WARM_UP_SECONDS)
             await self._inject()
@@ -49,16 +73,37 @@
             sending.cancel()
             await self.callers.finish()
         finally:
+            gc.enable()
+            watch.cancel()
             if sending is not None:
                 sending.cancel()
+            for proc in busy:
+                proc.kill()
+                proc.wait()
             await self.fleet.close()
         return Judge(self.fleet, self.callers)
 
+    async def _watch_lag(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_POLL_SECONDS
+            await asyncio.sleep(LAG_POLL_SECONDS)
+            self.lag = max(self.lag, loop.time() - due)
+
+    @property
+    def is_judged(self):
+        """Whether this process kept up, so that the run shows something."""
+        return self.lag <= MAX_LAG_SECONDS
+
     async def _inject(self):
         loop = asyncio.get_running_loop()
         end = loop.time() + self.seconds
         tasks = []
-        for series, pauses in ((self.troubles, (0.5, 4)), (self.stops, (1, 6))):
+        for series, pauses in (
+            (self.troubles, (0.5, 4)),
+            (self.stops, (1, 6)),
+            (self.changes, (0.5, 4)),
+        ):
             if series:
                 rng = Random(self.rng.random())
                 coro = self._inject_series(series, pauses, rng, end)
@@ -80,6 +125,12 @@
         self._folder.cleanup()
 
 
+def start_busy(count):
+    """Start processes that use the processor."""
+    command = [sys.executable, '-c', 'while True: pass']
+    return [subprocess.Popen(command) for _ in range(count)]
+
+
 def summary(play, judge):
     """Return the counts of a run, in lines."""
     tried = play.callers.tried
@@ -92,15 +143,12 @@
         windows, key=lambda pair: pair[1].extra / pair[1].allowed
     )
     lines = [
-        f'{len(tried)} tries, {len(play.fleet.stops)} stops',
+        f'{len(tried)} tries, {len(play.fleet.stops)} stops, this process up '
+        f'to {play.lag:.3f} s behind',
         f'worst window: {service}, {worst.extra} repeats of '
         f'{worst.allowed:.1f}',
     ]
     lines.append(f'{len(judge.attempts_over())} ran on too many replicas')
-    lines += [
-        f'  closed, {", ".join(key)}: {count}'
-        for key, count in sorted(judge.closed_counts().items())
-    ]
     lines += [
         f'  {name} {end} {status}: {count}'
         for (name, end, status), count in sorted(ends.items())
--- a/tests/site/troubles.py
+++ b/tests/site/troubles.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import signal
-import time
+from collections import Counter
 
 from tests.site.fleet import RESTART_SECONDS
+from tests.support.fleet import catches_stop
 
 READY_SECONDS = 10
+ADDRESS_REUSE_SECONDS = 2
 
 
 def choose(replicas, share, rng):
@@ -64,6 +66,13 @@
     await set_for(chosen, rng.choice(['dark', 'hang']), 1, 6.5)
 
 
+async def refuse_shard(play, rng):
+    """Let all replicas of a shard refuse requests."""
+    shard = rng.choice(play.fleet.shards)
+    chosen = [r for r in shards_of(play) if r.service == shard]
+    await set_for(chosen, 'shed', 1, 6.5)
+
+
 async def darken_shard(play, rng):
     """Let all replicas of a shard go silent."""
     shard = rng.choice(play.fleet.shards)
@@ -146,20 +155,161 @@
 async def kill_all(play, rng):
     """Kill all gateways at once and start them again."""
     names = [n for n in play.fleet.names if n not in play.restarting]
+    await kill_gateways(play, names)
+
+
+async def kill_gateways(play, names):
     play.restarting.update(names)
-    play.fleet.disruptions.append(time.monotonic())
-    for name in names:
-        play.fleet.procs[name].send_signal(signal.SIGKILL)
-        play.fleet.procs[name].wait()
-    await asyncio.sleep(0.7)
-    for name in names:
-        play.fleet.spawn(name)
-    for name in names:
-        await play.fleet.wait_until(
-            lambda name=name: play.fleet.is_ready(name), READY_SECONDS, name
-        )
-    play.fleet.disruptions.append(time.monotonic())
+    with play.fleet.disrupted(*names):
+        await asyncio.gather(*(play.fleet.kill(name) for name in names))
+        await asyncio.sleep(0.7)
+        for name in names:
+            play.fleet.spawn(name)
+        for name in names:
+            await play.fleet.wait_until(
+                lambda name=name: play.fleet.is_ready(name), READY_SECONDS, name
+            )
     play.restarting.difference_update(names)
 
 
 STOPS = (roll, stop_several)
+
+
+def running(play):
+    return [name for name in play.fleet.names if name not in play.restarting]
+
+
+async def stop_starting(play, rng):
+    """Stop gateways again while they start."""
+    names = running(play)
+    count = min(len(names), rng.randint(1, 3))
+    await asyncio.gather(
+        *(
+            stop_twice(play, name, rng.uniform(0, 0.8))
+            for name in rng.sample(names, count)
+        )
+    )
+
+
+async def stop_twice(play, name, seconds):
+    if name in play.restarting:
+        return
+    play.restarting.add(name)
+    try:
+        await play.fleet.stop_gateway(name)
+        play.fleet.spawn(name)
+        await asyncio.sleep(seconds)
+    finally:
+        play.restarting.discard(name)
+    await stop_and_start(play, name)
+
+
+async def reload_gateways(play, rng):
+    """Send SIGHUP to some or all gateways."""
+    names = running(play)
+    for name in rng.sample(names, rng.randint(0, len(names))):
+        if catches_stop(play.fleet.procs[name].pid):
+            play.fleet.tell(name, signal.SIGHUP)
+
+
+async def change_routes(play, rng):
+    """Write configurations, at times many at once or with many routes."""
+    for _ in range(rng.choice([1, 1, 6])):
+        play.fleet.write_routes(rng.choice([0, 2, 200]))
+        await asyncio.sleep(0.2)
+
+
+def choose_spare(play, rng):
+    """Return a replica whose service has others, or None."""
+    services = Counter(r.service for r in play.fleet.replicas.values())
+    spare = [r for r in play.fleet.replicas.values() if services[r.service] > 1]
+    return rng.choice(spare) if spare else None
+
+
+async def replace_replicas(play, rng):
+    """Empty replicas; others start at their addresses, of any service."""
+    for _ in range(rng.randint(1, 4)):
+        former = choose_spare(play, rng)
+        if former is None:
+            return
+        limits = former.slots, former.max_connections
+        await play.fleet.drain_replica(former, rng.uniform(3, 4))
+        await asyncio.sleep(ADDRESS_REUSE_SECONDS)
+        service = rng.choice([*play.fleet.shards, 'single'])
+        await play.fleet.start_replica(
+            service, former.zone, limits, former.endpoint
+        )
+        if service != former.service:
+            await play.fleet.start_replica(former.service, former.zone, limits)
+
+
+async def scale_singles(play, rng):
+    """Add empty replicas, and later take as many away."""
+    site = play.fleet.site
+    limits = site.single_slots, site.single_connections
+    added = [
+        await play.fleet.start_replica('single', zone, limits)
+        for zone in site.replica_zones
+    ]
+    await asyncio.sleep(rng.uniform(1, 4))
+    for replica in added:
+        await play.fleet.drain_replica(replica, rng.uniform(3, 4))
+
+
+async def leave_early(play, rng):
+    """Let callers leave before their deadline."""
+    play.callers.leaving_share = 0.4
+    await asyncio.sleep(rng.uniform(2, 6))
+    play.callers.leaving_share = 0
+
+
+async def repeat_at_once(play, rng):
+    """Let callers repeat at once and often."""
+    play.callers.hasty_share = 0.5
+    await asyncio.sleep(rng.uniform(2, 6))
+    play.callers.hasty_share = 0
+
+
+async def kill_some(play, rng):
+    """Kill some gateways at the same moment."""
+    names = running(play)
+    await kill_gateways(play, rng.sample(names, min(len(names), 3)))
+
+
+async def freeze_gateway(play, rng):
+    """Stop a gateway from running for some time."""
+    names = running(play)
+    if not names:
+        return
+    name = rng.choice(names)
+    play.restarting.add(name)
+    with play.fleet.disrupted(name):
+        play.fleet.tell(name, signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.3, 4))
+        play.fleet.tell(name, signal.SIGCONT)
+    play.restarting.discard(name)
+
+
+async def break_store(play, rng):
+    """Let the store go silent, be busy, lose answers or be slow."""
+    store = play.fleet.store
+    with play.fleet.disrupted():
+        store.set_mode(rng.choice(['silent', 'reset', 'busy', 'lossy', 'up']))
+        store.delay = 0.5 if store.mode == 'up' else 0
+        await asyncio.sleep(rng.uniform(1, 6))
+        store.set_mode('up')
+        store.delay = 0
+
+
+CHANGES = (
+    stop_starting,
+    reload_gateways,
+    change_routes,
+    replace_replicas,
+    scale_singles,
+    leave_early,
+    repeat_at_once,
+    refuse_shard,
+)
+# The judgement of LOST pauses while these last.
+DISRUPTIONS = (kill_some, freeze_gateway, break_store)
