--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -7,6 +7,7 @@
 
 from crocusroad_core.discovery import ReplicaTable
 from crocusroad_core.gather import Finish, Gather
+from crocusroad_core.retry_budget._budget import RetryBudget
 from crocusroad_core.routes import CurrentRouteTable
 from crocusroad_node import gateway_root
 from crocusroad_node.exchanges import _connection, _response_reader
@@ -179,6 +180,17 @@
     _gateway.follow_changes = follow_first
 
 
+def cuts_at_stop():
+    """Stop without a time by which every request is answered."""
+    _gateway.Gateway.stop_by = lambda self, until: None
+
+
+def repeats_for_free():
+    """Charge nothing for retries."""
+    RetryBudget.spend = lambda self, service, now: True
+    RetryBudget.is_scarce = lambda self, service, now: False
+
+
 PLANTED = {
     plant.__name__.replace('_', '-'): plant
     for plant in (
@@ -193,6 +205,8 @@
         ignores_notices_of_parts,
         rests_for_one_request,
         repeats_at_rest,
+        cuts_at_stop,
+        repeats_for_free,
     )
 }
 
