--- a/tests/site/judge.py
+++ b/tests/site/judge.py
@@ -91,8 +91,10 @@
     def _work_of(self, tried):
         """Return the planned work around which a request ended, or ''."""
         stop = self._stop_of(tried)
-        if stop and not self._is_at_work_late(tried, stop):
-            return f'SIGTERM {stop.at - tried.sent_at:+.3f} after sending'
+        if stop:
+            is_excused = self._is_at_work_late(tried, stop)
+            at = stop.at - tried.sent_at
+            return '' if is_excused else f'SIGTERM {at:+.3f} after sending'
         for hangup in self._fleet.hangups:
             is_sent = tried.sent_at <= hangup.at + APPLY_SECONDS
             is_cut = hangup.at <= tried.ended_at
