--- a/tests/features/steps/site_judge.py
+++ b/tests/features/steps/site_judge.py
@@ -11,7 +11,7 @@
 from tests.site.deployment import EMUSB
 from tests.site.judge import Judge
 from tests.site.replica import CRASH_MARK, Arrival, SiteReplica, Work
-from tests.support.fleet import exchange
+from tests.support.fleet import exchange, read_answer
 from tests.support.free_ports import find_free_base_port
 
 KIND = EMUSB.kinds[2]
@@ -41,7 +41,11 @@
                 )
                 for number in range(replicas)
             },
+            hangups=[],
+            configured_at=[],
+            failed=[],
         )
+        self.fleet.all_replicas = list(self.fleet.replicas.values())
         self._ids = itertools.count()
 
     def send(self, at=SENT_AT, deadline_ms=4000, path='', gateway='g0'):
@@ -182,23 +186,39 @@
     context.add_cleanup(context.replica.close)
 
 
-async def ask(context, path):
-    head = (
+def request_head(path):
+    return (
         f'GET {path} HTTP/1.1\r\nX-Request-Id: 1\r\n'
         'X-Request-Deadline: 1000\r\n\r\n'
-    )
-    return await exchange(context.replica.endpoint, head.encode())
+    ).encode()
+
+
+async def ask(context, path):
+    return await exchange(context.replica.endpoint, request_head(path))
 
 
 async def ask_in_mode(context, mode):
-    replica = context.replica
-    replica.set_mode(mode)
-    asking = asyncio.create_task(ask(context, f'{KIND.prefix}1'))
     if mode == 'dark':
-        await asyncio.sleep(0.3)
-        context.lit_at = time.monotonic()
-        replica.set_mode('ok')
-    context.answers.append(await asking)
+        context.answers.append(await ask_silent(context))
+        return
+    context.replica.set_mode(mode)
+    context.answers.append(await ask(context, f'{KIND.prefix}1'))
+
+
+async def ask_silent(context):
+    """Send a request on a connection whose replica has just gone silent."""
+    replica = context.replica
+    replica.set_mode('ok')
+    reader, writer = await asyncio.open_connection(*replica.endpoint)
+    await asyncio.sleep(0.05)
+    replica.set_mode('dark')
+    writer.write(request_head(f'{KIND.prefix}1'))
+    await asyncio.sleep(0.3)
+    context.lit_at = time.monotonic()
+    replica.set_mode('ok')
+    answer = await read_answer(reader)
+    writer.close()
+    return answer
 
 
 @when('it gets a request in each of the modes {modes}')
