Let requests earn no retry tokens as an instance starts, and count them by window

Cause: a new process took a quarter of the earning at once, on top of what the one before it had left open. Earning now rises from nothing to the whole over two windows.

Besides, the count of requests that the bound goes by was never trimmed for a service that no retry asked for, and never ended after the window was made longer by a reload.

--- a/packages/core/src/crocusroad_core/retry_budget/_budget.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budget.py
@@ -9,11 +9,10 @@
 # counted in another window than their retries.
 USED_RATIO: Final = 0.8
 # The retries of the previous process of this instance may still arrive. So an
-# instance starts with a part of its slack, and earns less for some windows: at
-# first a part of what it earns later.
+# instance starts with a part of its slack, and requests earn less for some
+# windows: nothing at first.
 INITIAL_RATIO: Final = 0.25
 STARTING_WINDOWS: Final = 2
-STARTING_RATIO: Final = 0.25
 # Ratio of an instance's slack that may be saved up. The rest is refilled over
 # time: incidents last longer than a window, and the slack is granted in each
 # window.
@@ -147,8 +146,7 @@
     def _earning_ratio(self, now: float) -> float:
         """Return the ratio that is earned of a request's tokens."""
         seconds = STARTING_WINDOWS * self._bounds.window_seconds
-        age_ratio = max(0, now - self._started_at) / seconds
-        return min(1, STARTING_RATIO + (1 - STARTING_RATIO) * age_ratio)
+        return min(1, max(0, now - self._started_at) / seconds)
 
     def _update(self, service: str, now: float) -> _Account:
         """Return the account of a service with the tokens of now."""
--- a/packages/core/src/crocusroad_core/retry_budget/_recent_count.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_recent_count.py
@@ -21,18 +21,23 @@
     def add(self, now: float, window_seconds: float) -> None:
         """Count an event."""
         number = int(now * BUCKETS / window_seconds)
-        buckets = self._buckets
+        self._discard_old(number)
         count = 1
-        if buckets and buckets[-1][0] >= number:
-            number, count = buckets.pop()
-            count += 1
-        buckets.append((number, count))
+        if self._buckets and self._buckets[-1][0] == number:
+            count += self._buckets.pop()[1]
+        self._buckets.append((number, count))
         self._total += 1
 
     def total(self, now: float, window_seconds: float) -> int:
         """Return the number of recent events."""
-        oldest = int(now * BUCKETS / window_seconds) - BUCKETS + 1
+        self._discard_old(int(now * BUCKETS / window_seconds))
+        return self._total
+
+    def _discard_old(self, number: int) -> None:
         buckets = self._buckets
-        while buckets and buckets[0][0] < oldest:
+        if buckets and buckets[-1][0] > number:
+            # They were counted in windows of another length.
+            buckets.clear()
+            self._total = 0
+        while buckets and buckets[0][0] <= number - BUCKETS:
             self._total -= buckets.popleft()[1]
-        return self._total
--- a/tests/features/retry_windows.feature
+++ b/tests/features/retry_windows.feature
@@ -11,3 +11,4 @@
       | repeats_stay_bounded_over_restarts_in_series       |
       | tokens_are_settled_when_the_last_attempt_has_ended |
       | token_of_an_attempt_never_sent_is_settled          |
+      | counts_of_requests_end_with_their_window           |
--- a/tests/properties/retry_windows.py
+++ b/tests/properties/retry_windows.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from crocusroad_core.retry_budget import OpenRetries, RetryBounds, RetryBudget
+from crocusroad_core.retry_budget._recent_count import BUCKETS, RecentCount
 
 BOUNDS = RetryBounds(ratio=0.2, slack=56, window_seconds=10)
 INSTANCES = 8
@@ -231,6 +232,20 @@
         10,
     )
 )
+@example(
+    Story(
+        45,
+        10,
+        (1,),
+        (
+            Hold(110.03094525734836, 6.674294464663005, 1),
+            Hold(115.8667471852695, 6.412355271332613, 1),
+        ),
+        ((22.24495285991484, INSTANCES),),
+        0.3,
+        67,
+    )
+)
 @given(story=stories)
 def repeats_stay_bounded_over_restarts_in_series(story):
     check(story)
@@ -283,3 +298,20 @@
     retries.spend('s', 0)
     retries.on_finish(1)
     assert (budgets.settled, budgets.not_arrived) == (1, 0)
+
+
+@given(
+    seconds=st.tuples(st.sampled_from((2, 10)), st.sampled_from((2, 10))),
+    count=st.integers(1, 300),
+)
+def counts_of_requests_end_with_their_window(seconds, count):
+    former, window = seconds
+    counted = RecentCount()
+    for number in range(count):
+        counted.add(1000 + number / 10, former)
+    start = 1000 + count / 10
+    for number in range(10 * window):
+        counted.add(start + number / 10, window)
+    end = start + window
+    assert counted.total(end, window) <= 10 * (window + 0.1)
+    assert len(counted._buckets) <= BUCKETS
