Age crash reports in the store, and keep those of the earlier process

One that could not list the entries overwrote what its earlier process had stored; and against a store that was down it called once a second.

An entry now tells when it was written, its former reports are merged before it is replaced, and failing calls back off to 32 s.

--- a/packages/node/src/crocusroad_node/gateway/_crash_archive.py
+++ b/packages/node/src/crocusroad_node/gateway/_crash_archive.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from time import monotonic
-from typing import Final
+from time import monotonic, time
+from typing import Final, NamedTuple
 
 import msgspec
 from returns.result import Success
@@ -23,6 +23,14 @@
 # A listing may be seconds old, so what it lacked is read once more.
 RESTORE_SECONDS: Final = 5.0
 MAX_REPORTS: Final = 40  # in the entry of one instance
+MAX_RETRY_SECONDS: Final = 32.0  # between calls to a store that fails
+
+
+class StoredReports(NamedTuple):
+    """The crash reports in an entry of the store."""
+
+    written_at: float  # Unix time in seconds
+    reports: list[TimedReport]
 
 
 class CrashArchive:
@@ -65,25 +73,33 @@
         await self._restore()
 
     async def _restore(self) -> None:
+        pause = WRITE_SECONDS
         listed = await self._kv.list_stale(self._prefix)
         while not isinstance(listed, Success):
-            await asyncio.sleep(WRITE_SECONDS)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, MAX_RETRY_SECONDS)
             listed = await self._kv.list_stale(self._prefix)
         for entry in listed.unwrap().entries:
-            reports = decode_reports(entry)
-            self._receive(reports)
+            self._receive(decode_reports(entry, time()))
             if entry.key == self._key:
-                former = {timed.report.fingerprint: timed for timed in reports}
-                for name in former.keys() - self._own.keys():
-                    self._own[name] = former[name].report
+                self._adopt(entry)
+
+    def _adopt(self, entry: Entry) -> None:
+        """Keep what the former process of this instance reported."""
+        for timed in decode_reports(entry, time()):
+            self._own.setdefault(timed.report.fingerprint, timed.report)
 
     async def _write_reports(self) -> None:
+        pause = WRITE_SECONDS
         while True:
             await self._has_news.wait()
             self._has_news.clear()
-            if not await self._write():
+            if await self._write():
+                pause = WRITE_SECONDS
+            else:
                 self._has_news.set()
-            await asyncio.sleep(WRITE_SECONDS)
+                pause = min(2 * pause, MAX_RETRY_SECONDS)
+            await asyncio.sleep(pause)
 
     async def _write(self) -> bool:
         """Write the entry of this instance; return whether it was written."""
@@ -98,6 +114,9 @@
         # An earlier process of this instance or a lost reply.
         known = (await self._kv.read(self._key)).value_or(None)
         self._revision = 0 if known is None else known.revision
+        if known is not None:
+            self._receive(decode_reports(known, time()))
+            self._adopt(known)
         return False
 
     async def _renew(self) -> bool:
@@ -120,15 +139,25 @@
             TimedReport(trim(report), left[name])
             for name, report in self._own.items()
         ]
-        return msgspec.json.encode(reports[-MAX_REPORTS:]).decode()
+        stored = StoredReports(time(), reports[-MAX_REPORTS:])
+        return msgspec.json.encode(stored).decode()
+
 
+def decode_reports(entry: Entry, now: float) -> list[TimedReport]:
+    """Return the reports of an entry that still hold at the Unix time `now`.
 
-def decode_reports(entry: Entry) -> list[TimedReport]:
-    """Return the reports that an entry holds; none if it can't be read."""
+    None if the entry can't be read.
+    """
     try:
-        return decode_json(list[TimedReport], entry.value or '')
+        stored = decode_json(StoredReports, entry.value or '')
     except DecodeError as exc:
         log_event(
             _logger, 'crash reports not understood', key=entry.key, error=exc
         )
         return []
+    age = max(0, now - stored.written_at)
+    return [
+        timed._replace(seconds=timed.seconds - age)
+        for timed in stored.reports
+        if timed.seconds > age
+    ]
--- a/tests/features/gateway_poison.feature
+++ b/tests/features/gateway_poison.feature
@@ -49,6 +49,18 @@
     And the same read comes once at each gateway
     Then none of its last 3 requests reached a replica
 
+  Scenario: A crash report in the store holds no longer than it does in memory
+    Given an entry of crash reports that was written 500 seconds ago
+    And it has reports for 580 and for 400 seconds more
+    When an instance reads it as it starts
+    Then it holds only the first, for 80 seconds
+
+  Scenario: An instance that restarts keeps the crash reports of its earlier process
+    Given an entry of crash reports that was written 5 seconds ago
+    And it has reports for 580 and for 400 seconds more
+    When an instance whose listings fail writes a report of its own
+    Then the entry has 3 reports
+
   # Many replicas close a connection under a request and run on.
   Scenario: A request whose answers are lost is not taken for one that crashes
     Given a fleet with 3 gateways and 4 replicas of single
