Write crash reports again within a second of the store's return

Cause: the backoff of failing writes to 32 s, added with the aging of the reports, left them unwritten in the 2 s for which the store was back. Writes are made only after a crash and are tried once a second again; only listings back off.

--- a/packages/node/src/crocusroad_node/gateway/_crash_archive.py
+++ b/packages/node/src/crocusroad_node/gateway/_crash_archive.py
@@ -23,7 +23,7 @@
 # A listing may be seconds old, so what it lacked is read once more.
 RESTORE_SECONDS: Final = 5.0
 MAX_REPORTS: Final = 40  # in the entry of one instance
-MAX_RETRY_SECONDS: Final = 32.0  # between calls to a store that fails
+MAX_RETRY_SECONDS: Final = 32.0  # between listings that fail
 
 
 class StoredReports(NamedTuple):
@@ -90,16 +90,12 @@
             self._own.setdefault(timed.report.fingerprint, timed.report)
 
     async def _write_reports(self) -> None:
-        pause = WRITE_SECONDS
         while True:
             await self._has_news.wait()
             self._has_news.clear()
-            if await self._write():
-                pause = WRITE_SECONDS
-            else:
+            if not await self._write():
                 self._has_news.set()
-                pause = min(2 * pause, MAX_RETRY_SECONDS)
-            await asyncio.sleep(pause)
+            await asyncio.sleep(WRITE_SECONDS)
 
     async def _write(self) -> bool:
         """Write the entry of this instance; return whether it was written."""
