Let requests earn retry tokens in full from the start of an instance again

"A read is retried at another replica if one crashes" failed on: one of 10 reads ended 502, since a process that had just started had no token for its retry.

Cause: the slower earning after a start, which kept the bound on repeats over restarts of all instances around silent replicas. Callers lose more by it than the bound gains, so it is taken back; retries still count until they have arrived.

--- a/packages/core/src/crocusroad_core/retry_budget/_budget.py
+++ b/packages/core/src/crocusroad_core/retry_budget/_budget.py
@@ -8,11 +8,9 @@
 # Ratio of the bounds that instances use. The rest covers requests that are
 # counted in another window than their retries.
 USED_RATIO: Final = 0.8
-# The retries of the previous process of this instance may still arrive. So an
-# instance starts with a part of its slack, and requests earn less for some
-# windows: nothing at first.
+# The retries of the previous process of this instance may still arrive, so an
+# instance starts with a part of its slack.
 INITIAL_RATIO: Final = 0.25
-STARTING_WINDOWS: Final = 2
 # Ratio of an instance's slack that may be saved up. The rest is refilled over
 # time: incidents last longer than a window, and the slack is granted in each
 # window.
@@ -89,8 +87,9 @@
     def earn(self, service: str, now: float) -> None:
         """Count a request for a service."""
         account = self._update(service, now)
-        earned = self._tokens_per_request * self._earning_ratio(now)
-        account.tokens = min(account.tokens + earned, self._capacity)
+        account.tokens = min(
+            account.tokens + self._tokens_per_request, self._capacity
+        )
         account.requests.add(now, self._bounds.window_seconds)
 
     def spend(self, service: str, now: float) -> bool:
@@ -143,11 +142,6 @@
         ) / bounds.window_seconds
         self._tokens_per_request = bounds.ratio * USED_RATIO
 
-    def _earning_ratio(self, now: float) -> float:
-        """Return the ratio that is earned of a request's tokens."""
-        seconds = STARTING_WINDOWS * self._bounds.window_seconds
-        return min(1, max(0, now - self._started_at) / seconds)
-
     def _update(self, service: str, now: float) -> _Account:
         """Return the account of a service with the tokens of now."""
         account = self._accounts.get(service)
