--- a/packages/node/src/crocusroad_node/gateway/_crash_archive.py
+++ b/packages/node/src/crocusroad_node/gateway/_crash_archive.py
@@ -80,14 +80,15 @@
             pause = min(2 * pause, MAX_RETRY_SECONDS)
             listed = await self._kv.list_stale(self._prefix)
         for entry in listed.unwrap().entries:
-            self._receive(decode_reports(entry, time()))
-            if entry.key == self._key:
-                self._adopt(entry)
+            self._take(entry)
 
-    def _adopt(self, entry: Entry) -> None:
-        """Keep what the former process of this instance reported."""
-        for timed in decode_reports(entry, time()):
-            self._own.setdefault(timed.report.fingerprint, timed.report)
+    def _take(self, entry: Entry) -> None:
+        """Learn what an entry holds, and keep what this instance reported."""
+        reports = decode_reports(entry, time())
+        self._receive(reports)
+        if entry.key == self._key:
+            for timed in reports:
+                self._own.setdefault(timed.report.fingerprint, timed.report)
 
     async def _write_reports(self) -> None:
         while True:
@@ -111,8 +112,7 @@
         known = (await self._kv.read(self._key)).value_or(None)
         self._revision = 0 if known is None else known.revision
         if known is not None:
-            self._receive(decode_reports(known, time()))
-            self._adopt(known)
+            self._take(known)
         return False
 
     async def _renew(self) -> bool:
--- a/tests/features/steps/late_timers.py
+++ b/tests/features/steps/late_timers.py
@@ -50,18 +50,9 @@
 def receive(context, sent, seconds):
     """Return what a caller gets that sends bytes while the loop is stopped."""
 
-    def handle(req, send_reply):
-        send_reply(Reply(200))
-        return noop_stop
-
-    async def main():
+    async def call(address):
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: CallerConnection(context.connection_context, handle),
-            '127.0.0.1',
-            0,
-        )
-        caller = socket.create_connection(server.sockets[0].getsockname())
+        caller = socket.create_connection(address)
         # After a callback of a socket, the loop fires its timers first.
         signalled, signalling = socket.socketpair()
 
@@ -76,7 +67,27 @@
             await asyncio.sleep(STOP_AFTER_SECONDS + WAIT_SECONDS)
             await asyncio.sleep(WAIT_SECONDS / 2)
             caller.setblocking(False)
-            received = read_all(caller)
+            return read_all(caller)
+
+    return serve(context, answer, call)
+
+
+def answer(req, send_reply):
+    send_reply(Reply(200))
+    return noop_stop
+
+
+def serve(context, handle, call):
+    """Serve connections while `call` runs; return what it returns."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(context.connection_context, handle),
+            '127.0.0.1',
+            0,
+        )
+        received = await call(server.sockets[0].getsockname())
         server.close()
         return received
 
@@ -97,39 +108,21 @@
         asyncio.get_running_loop().call_soon(reply)
         return noop_stop
 
-    async def main():
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: CallerConnection(context.connection_context, handle),
-            '127.0.0.1',
-            0,
-        )
-        with socket.create_connection(server.sockets[0].getsockname()) as sock:
+    async def call(address):
+        with socket.create_connection(address) as sock:
             sock.sendall(2 * REQUEST)
             await asyncio.sleep(WAIT_SECONDS)
-            context.received = read_all(sock)
-        server.close()
+            return read_all(sock)
 
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(main())
+    context.received = serve(context, handle, call)
 
 
 @when('it gets a request that is unread as idle ones are closed')
 def step_unread_close(context):
     connections = context.connection_context.connections
 
-    def handle(req, send_reply):
-        send_reply(Reply(200))
-        return noop_stop
-
-    async def main():
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: CallerConnection(context.connection_context, handle),
-            '127.0.0.1',
-            0,
-        )
-        with socket.create_connection(server.sockets[0].getsockname()) as sock:
+    async def call(address):
+        with socket.create_connection(address) as sock:
             sock.sendall(REQUEST)
             await asyncio.sleep(WAIT_SECONDS)
             read_all(sock)
@@ -137,11 +130,9 @@
             for connection in tuple(connections):
                 connection.close_if_idle()
             await asyncio.sleep(WAIT_SECONDS)
-            context.received = read_all(sock)
-        server.close()
+            return read_all(sock)
 
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(main())
+    context.received = serve(context, answer, call)
 
 
 @then('both requests are answered')
