--- a/tests/run.py
+++ b/tests/run.py
@@ -2,6 +2,7 @@
 
 Run: python -m tests.run [FEATURE ...]
 Runs wait for each other, unless CROCUSROAD_TEST_RUN numbers them differently.
+Beside each other they need different values of CROCUSROAD_BASE_PORT, too.
 """
 
 import fcntl
